--- /dev/null
+++ b/src/kernel/events.ts
@@ -0,0 +1,98 @@
+/**
+ * Numbered log events. docs/events.md holds the catalogue, and a test compares the two.
+ *
+ * @module
+ */
+import pino from "pino";
+
+/** Severity of an event, pino's names. */
+export type Level = "trace" | "debug" | "info" | "warn" | "error" | "fatal";
+
+/** One numbered event of the catalogue. */
+export interface EventKind {
+  readonly number: number;
+  readonly name: string;
+  readonly level: Level;
+}
+
+function event(number: number, name: string, level: Level): EventKind {
+  return { number, name, level };
+}
+
+/**
+ * All events. 1xx life cycle, 2xx configuration, 3xx platform and membership,
+ * 4xx callers and routing, 5xx health and failover, 6xx connections and overload.
+ */
+export const Events = {
+  STARTED: event(101, "started", "info"),
+  STOPPING: event(102, "stopping", "info"),
+  STOPPED: event(103, "stopped", "info"),
+  PLUGIN_FAILED: event(104, "plugin-failed", "error"),
+  PAUSE_OBSERVED: event(105, "pause-observed", "warn"),
+  UNEXPECTED: event(106, "unexpected", "error"),
+  REVISION_IN_FORCE: event(201, "revision-in-force", "info"),
+  REVISION_REJECTED: event(202, "revision-rejected", "warn"),
+  REVISION_FROM_PEER: event(203, "revision-from-peer", "info"),
+  TABLE_SERVICE_FAILED: event(301, "table-service-failed", "warn"),
+  OBJECT_STORE_FAILED: event(302, "object-store-failed", "warn"),
+  HOST_LIST_FAILED: event(303, "host-list-failed", "warn"),
+  HOST_LEAVING: event(304, "host-leaving", "info"),
+  PEER_JOINED: event(305, "peer-joined", "info"),
+  PEER_SUSPECTED: event(306, "peer-suspected", "warn"),
+  PEER_GONE: event(307, "peer-gone", "warn"),
+  PEER_REFUSED: event(308, "peer-refused", "warn"),
+  CALLER_CONNECTED: event(401, "caller-connected", "debug"),
+  CALLER_DISCONNECTED: event(402, "caller-disconnected", "debug"),
+  CALLER_REFUSED: event(403, "caller-refused", "warn"),
+  READ_ROUTED: event(404, "read-routed", "debug"),
+  WRITE_ROUTED: event(405, "write-routed", "debug"),
+  STATEMENT_REFUSED: event(406, "statement-refused", "info"),
+  READ_REPEATED: event(407, "read-repeated", "info"),
+  REQUEST_SETTLED: event(408, "request-settled", "info"),
+  REQUEST_REPEATED: event(409, "request-repeated", "info"),
+  PRIMARY_SUSPECTED: event(501, "primary-suspected", "warn"),
+  PRIMARY_FOUND: event(502, "primary-found", "info"),
+  FENCED: event(503, "fenced", "info"),
+  PROMOTED: event(504, "promoted", "info"),
+  FAILOVER_ABANDONED: event(505, "failover-abandoned", "warn"),
+  FOLLOW_ORDERED: event(506, "follow-ordered", "info"),
+  FORMER_PRIMARY_RETURNED: event(507, "former-primary-returned", "warn"),
+  INSTANCE_EXCLUDED: event(508, "instance-excluded", "warn"),
+  INSTANCE_INCLUDED: event(509, "instance-included", "info"),
+  SWITCHOVER_STARTED: event(510, "switchover-started", "info"),
+  SWITCHOVER_ENDED: event(511, "switchover-ended", "info"),
+  FAILOVER_WITHHELD: event(512, "failover-withheld", "warn"),
+  CONNECTION_OPENED: event(601, "connection-opened", "debug"),
+  CONNECTION_CLOSED: event(602, "connection-closed", "debug"),
+  CONNECTION_REFUSED: event(603, "connection-refused", "warn"),
+  SHARE_CHANGED: event(604, "share-changed", "info"),
+  LOAD_SHED: event(605, "load-shed", "warn"),
+} as const satisfies Record<string, EventKind>;
+
+/** Fields of a log line besides its event. */
+export type EventFields = Readonly<Record<string, unknown>>;
+
+/** Writes numbered events as JSON lines to standard error. */
+export class EventLog {
+  readonly #logger: pino.Logger;
+
+  constructor(logger: pino.Logger) {
+    this.#logger = logger;
+  }
+
+  /** Writes one event. */
+  write(kind: EventKind, fields: EventFields = {}): void {
+    this.#logger[kind.level]({ event: kind.number, ...fields }, kind.name);
+  }
+
+  /** Whether events of this kind reach the output; guards costly fields. */
+  enabled(kind: EventKind): boolean {
+    return this.#logger.isLevelEnabled(kind.level);
+  }
+}
+
+/** Makes an event log that writes to standard error. */
+export function createEventLog(level: string, base: EventFields): EventLog {
+  const destination = pino.destination({ dest: 2, sync: false, minLength: 0 });
+  return new EventLog(pino({ level, base }, destination));
+}
--- /dev/null
+++ b/src/kernel/settings.ts
@@ -0,0 +1,134 @@
+/**
+ * Settings of the proxy: flags and environment variables, checked by one schema.
+ * A flag goes before its environment variable.
+ *
+ * @module
+ */
+import { parseArgs } from "node:util";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { createFailure, type Failure, ResultCodes } from "./result_codes.ts";
+
+const port = z.coerce.number().int().min(0).max(65535);
+const milliseconds = z.coerce.number().int().min(1).max(3_600_000);
+const file = z.string().min(1).optional();
+const url = z.url();
+
+/** Schema of the settings; the key is the flag in camel case. */
+export const settingsSchema = z.strictObject({
+  /** Name of this proxy, unique in its environment. */
+  name: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/),
+  /** Availability zone of this proxy. */
+  zone: z.string().min(1),
+  /** Environment of the document that this proxy serves. */
+  environment: z.string().min(1).default("production"),
+  /** IP number to listen on and to connect from. */
+  address: z.union([z.ipv4(), z.ipv6()]).default("127.0.0.1"),
+  /** Port for callers; 0 takes a free one. */
+  port: port.default(6432),
+  /** Port for peers; 0 takes a free one. */
+  peerPort: port.default(6433),
+  /** Host and port under which peers reach this proxy; default is address and peer port. */
+  peerEndpoint: z.string().regex(/^.+:\d+$/).optional(),
+  /** Port for metrics over HTTP; 0 takes a free one. */
+  metricsPort: port.default(0),
+  /** URL of the table service. */
+  tableService: url,
+  /** Table that holds heads and group records. */
+  table: z.string().min(1).default("marjoramshed"),
+  /** URL of the object store. */
+  objectStore: url,
+  /** Bucket that holds the document's revisions. */
+  bucket: z.string().min(1).default("marjoramshed"),
+  /** URL of the host list. */
+  hostList: url,
+  /** Access key of the platform. */
+  platformKey: z.string().default("marjoramshed"),
+  /** Secret of the platform. */
+  platformSecret: z.string().default("marjoramshed"),
+  /** Shared key of all proxies of the environment, at least 16 characters. */
+  peerKey: z.string().min(16),
+  /** The shared key before this one, accepted while keys are rotated. */
+  peerKeyBefore: z.string().min(16).optional(),
+  /** User at the upstreams. */
+  upstreamUser: z.string().min(1).default("marjoramshed"),
+  /** Password at the upstreams. */
+  upstreamPassword: z.string().default("marjoramshed"),
+  /** Routing policy: session, primary, or sticky (primary for a fixed time after a write). */
+  policy: z.enum(["session", "primary", "sticky"]).default("session"),
+  /** Time that a planned stop may take, in ms. */
+  stopDeadline: milliseconds.default(20_000),
+  /** Level of the log. */
+  logLevel: z.enum(["trace", "debug", "info", "warn", "error", "fatal"])
+    .default("info"),
+  /** Certificate and key that callers see, PEM files. */
+  callerCertificate: file,
+  callerKey: file,
+  /** Certificate, key and authority for peers, PEM files. */
+  peerCertificate: file,
+  peerCertificateKey: file,
+  peerAuthority: file,
+  /** Authority of the upstreams' certificates, a PEM file; turns TLS to upstreams on. */
+  upstreamAuthority: file,
+});
+
+/** Checked settings. */
+export type Settings = Readonly<z.infer<typeof settingsSchema>>;
+
+/** The flag of a setting: `peerKey` is `--peer-key`. */
+export function flagOf(key: string): string {
+  return "--" + key.replace(/[A-Z]/g, (letter) => "-" + letter.toLowerCase());
+}
+
+/** The environment variable of a setting: `peerKey` is `MARJORAMSHED_PEER_KEY`. */
+export function variableOf(key: string): string {
+  return "MARJORAMSHED_" +
+    key.replace(/[A-Z]/g, (letter) => "_" + letter).toUpperCase();
+}
+
+/** Resolves settings from arguments and environment; the failure names the first wrong one. */
+export function resolveSettings(
+  args: readonly string[],
+  environment: Readonly<Record<string, string | undefined>>,
+): Result<Settings, Failure> {
+  const keys = Object.keys(settingsSchema.shape);
+  const flags = readFlags(args, keys);
+  if (flags.isErr()) return err(flags.error);
+  const raw: Record<string, string> = {};
+  for (const key of keys) {
+    const value = flags.value[flagOf(key).slice(2)] ??
+      environment[variableOf(key)];
+    if (value !== undefined) raw[key] = value;
+  }
+  const parsed = settingsSchema.safeParse(raw);
+  if (parsed.success) return ok(Object.freeze(parsed.data));
+  const issue = parsed.error.issues[0];
+  const key = String(issue?.path[0] ?? "");
+  const found = raw[key] === undefined ? "nothing" : JSON.stringify(raw[key]);
+  return err(createFailure(
+    ResultCodes.SETTING_INVALID,
+    `${flagOf(key)} (${variableOf(key)}): ${
+      issue?.message ?? "invalid"
+    }; found ${found}`,
+  ));
+}
+
+function readFlags(
+  args: readonly string[],
+  keys: readonly string[],
+): Result<Readonly<Record<string, string | undefined>>, Failure> {
+  const options = Object.fromEntries(
+    keys.map((key) => [flagOf(key).slice(2), { type: "string" as const }]),
+  );
+  try {
+    return ok(parseArgs({ args: [...args], options, strict: true }).values);
+  } catch (error) {
+    const message = error instanceof Error ? error.message : String(error);
+    return err(
+      createFailure(
+        ResultCodes.SETTING_INVALID,
+        message.split("\n")[0] ?? message,
+      ),
+    );
+  }
+}
