Caller sessions: units, steps, runs of reads, writes, transactions and requests

Purpose: the path of a statement from the caller to an upstream and back, written straight down as one task per connection.

--- /dev/null
+++ b/src/plugins/callers/local_answer.ts
@@ -0,0 +1,94 @@
+/**
+ * Answers that the proxy gives itself, in the order in which an upstream would.
+ *
+ * @module
+ */
+import {
+  BackendType,
+  createComplete,
+  createEmpty,
+  createMessage,
+  createReady,
+  FrontendType,
+  type Message,
+  type TransactionStatus,
+} from "../wire/message.ts";
+import { readTarget } from "./statements.ts";
+import type { Unit } from "./unit_reader.ts";
+
+/** One command's answer: its tag and, for a SHOW, one column with one value. */
+export interface LocalAnswer {
+  readonly tag: string;
+  readonly column?: string;
+  readonly value?: string;
+}
+
+const TEXT_TYPE = 25;
+
+/** Makes the messages that answer a unit. */
+export function createLocalAnswer(
+  unit: Unit,
+  answer: LocalAnswer,
+  status: TransactionStatus,
+): readonly Message[] {
+  return unit.messages.flatMap((message) => answerTo(message, answer, status));
+}
+
+function answerTo(
+  message: Message,
+  answer: LocalAnswer,
+  status: TransactionStatus,
+): readonly Message[] {
+  switch (message.type) {
+    case FrontendType.QUERY:
+      return [
+        ...description(answer),
+        ...result(answer),
+        createReady(status),
+      ];
+    case FrontendType.PARSE:
+      return [createEmpty(BackendType.PARSE_COMPLETE)];
+    case FrontendType.BIND:
+      return [createEmpty(BackendType.BIND_COMPLETE)];
+    case FrontendType.CLOSE:
+      return [createEmpty(BackendType.CLOSE_COMPLETE)];
+    case FrontendType.EXECUTE:
+      return result(answer);
+    case FrontendType.SYNC:
+      return [createReady(status)];
+    case FrontendType.DESCRIBE: {
+      const parameters = readTarget(message)?.kind === "S"
+        ? [createMessage(BackendType.PARAMETER_DESCRIPTION, Buffer.alloc(2))]
+        : [];
+      const rows = description(answer);
+      if (rows.length > 0) return [...parameters, ...rows];
+      return [...parameters, createEmpty(BackendType.NO_DATA)];
+    }
+    default:
+      return [];
+  }
+}
+
+function description(answer: LocalAnswer): readonly Message[] {
+  if (answer.column === undefined) return [];
+  const name = Buffer.from(answer.column + "\0");
+  const body = Buffer.alloc(2 + name.length + 18);
+  body.writeInt16BE(1, 0);
+  name.copy(body, 2);
+  const place = 2 + name.length;
+  body.writeInt32BE(TEXT_TYPE, place + 6);
+  body.writeInt16BE(-1, place + 10);
+  body.writeInt32BE(-1, place + 12);
+  return [createMessage(BackendType.ROW_DESCRIPTION, body)];
+}
+
+function result(answer: LocalAnswer): readonly Message[] {
+  const complete = createComplete(answer.tag);
+  if (answer.column === undefined) return [complete];
+  const value = Buffer.from(answer.value ?? "");
+  const body = Buffer.alloc(6 + value.length);
+  body.writeInt16BE(1, 0);
+  body.writeInt32BE(value.length, 2);
+  value.copy(body, 6);
+  return [createMessage(BackendType.DATA_ROW, body), complete];
+}
--- /dev/null
+++ b/src/plugins/callers/primary_lender.ts
@@ -0,0 +1,85 @@
+/**
+ * Lends a connection to the confirmed primary of a database.
+ *
+ * @module
+ */
+import { setTimeout as delay } from "node:timers/promises";
+import { err, ok, type Result } from "neverthrow";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import type {
+  Priority,
+  UpstreamConnection,
+} from "../connections/connections.ts";
+import type { Group } from "../document/document.ts";
+import type { CallerContext } from "./caller_context.ts";
+
+/** Age in ms after which a primary's confirmation by a majority is renewed before a write. */
+const CONFIRMATION_MAX_AGE_MS = 1_000;
+/** Pause before another attempt after the primary could not be reached, in ms. */
+const RETRY_PAUSE_MS = 20;
+
+/** A connection to the primary. */
+export interface PrimaryLoan {
+  readonly connection: UpstreamConnection;
+  readonly instance: string;
+}
+
+/** Waits for a confirmed primary and for a connection to it, both until the deadline (monotonic ms). */
+export async function lendPrimary(
+  context: CallerContext,
+  group: Group,
+  priority: Priority,
+  deadline: number,
+): Promise<Result<PrimaryLoan, Failure>> {
+  const { database } = group;
+  for (;;) {
+    const primary = await context.health.primary(database, deadline);
+    if (primary.isErr()) return err(primary.error);
+    const confirmed = await confirmPrimary(context, group, deadline);
+    if (confirmed.isErr()) return err(confirmed.error);
+    const instance = primary.value.name;
+    const request = { database, instance, priority, deadline };
+    const lent = await context.connections.acquire(request);
+    if (lent.isOk()) return ok({ connection: lent.value, instance });
+    if (!passes(lent.error) || performance.now() >= deadline) {
+      return err(lent.error);
+    }
+    await delay(RETRY_PAUSE_MS);
+  }
+}
+
+async function confirmPrimary(
+  context: CallerContext,
+  group: Group,
+  deadline: number,
+): Promise<Result<void, Failure>> {
+  const view = context.health.view(group.database);
+  const limit = group.writes.acknowledgeDeadline;
+  if (
+    group.writes.acknowledge === "majority" && view && view.receiveLagMs > limit
+  ) {
+    const lag = Math.round(view.receiveLagMs);
+    return err(createFailure(
+      ResultCodes.RECEIVE_LAG,
+      `no majority of ${group.database} has received the log of ${lag} ms ago; the limit is ${limit} ms`,
+    ));
+  }
+  const age = performance.now() - (view?.confirmedAt ?? -Infinity);
+  if (age <= CONFIRMATION_MAX_AGE_MS) return ok(undefined);
+  const fresh = await context.health.freshPosition(group.database, deadline);
+  if (fresh.isOk()) return ok(undefined);
+  return err(createFailure(
+    ResultCodes.PRIMARY_UNCONFIRMED,
+    `the primary of ${group.database} is not confirmed by a majority of its instances`,
+    { detail: fresh.error.message },
+  ));
+}
+
+function passes(failure: Failure): boolean {
+  return failure.code === ResultCodes.UPSTREAM_UNREACHABLE ||
+    failure.code === ResultCodes.UPSTREAM_REFUSED;
+}
--- /dev/null
+++ b/src/plugins/callers/read_run.ts
@@ -0,0 +1,163 @@
+/**
+ * Runs a unit that only reads, on the instance that the routing policy chooses.
+ * It is repeated elsewhere only while nothing of its answer has reached the caller.
+ *
+ * @module
+ */
+import { Events } from "../../kernel/events.ts";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import { laterPosition, type Position } from "../upstream/position.ts";
+import { relayBatch } from "./batch.ts";
+import { DirectSink } from "./caller_output.ts";
+import { Exchange, type UpstreamError } from "./exchange.ts";
+import {
+  ANSWERED,
+  applySettings,
+  isUpstreamStop,
+  noteSessionState,
+  type Run,
+  type RunEnd,
+} from "./run.ts";
+import type { Choice } from "../routing/routing.ts";
+
+type Attempt = RunEnd | { readonly kind: "repeat"; readonly reason: string };
+
+/** Runs a read, or a transaction that begins read-only. */
+export async function runRead(run: Run): Promise<RunEnd> {
+  const excluded = new Set<string>();
+  for (;;) {
+    const choice = await chooseInstance(run, excluded);
+    if ("code" in choice) return { kind: "failed", failure: choice };
+    const attempt = await attemptRead(run, choice);
+    if (attempt.kind !== "repeat") return attempt;
+    const { instance } = choice;
+    excluded.add(instance);
+    run.context.health.reportFailure(run.group.database, instance);
+    run.context.log.write(Events.READ_REPEATED, {
+      session: run.identity.id,
+      database: run.group.database,
+      instance,
+      reason: attempt.reason,
+    });
+  }
+}
+
+async function chooseInstance(
+  run: Run,
+  excluded: ReadonlySet<string>,
+): Promise<Choice | Failure> {
+  const { state, plan, group } = run;
+  const known = state.position(performance.now());
+  const chosen = await run.context.routing.chooseRead({
+    database: group.database,
+    position: joinPositions(known, plan.position),
+    maxAge: resolveMaxAge(run),
+    lastWriteAt: state.lastWriteAt,
+    deadline: run.deadline,
+    excluded,
+  });
+  if (chosen.isErr()) return chosen.error;
+  if (chosen.value.position) state.replacePosition(chosen.value.position);
+  run.context.log.write(Events.READ_ROUTED, {
+    session: run.identity.id,
+    database: group.database,
+    instance: chosen.value.instance,
+    target: chosen.value.target,
+    reason: chosen.value.reason,
+  });
+  return chosen.value;
+}
+
+async function attemptRead(run: Run, choice: Choice): Promise<Attempt> {
+  const { context, group, output } = run;
+  const { instance, target } = choice;
+  const lent = await context.connections.acquire({
+    database: group.database,
+    instance,
+    priority: "normal",
+    deadline: run.deadline,
+  });
+  if (lent.isErr()) return afterRefusal(lent.error);
+  const exchange = new Exchange(lent.value);
+  if (!await applySettings(exchange, run.state)) {
+    exchange.finish(false);
+    return { kind: "repeat", reason: "settings were not accepted" };
+  }
+  const begun = performance.now();
+  const before = output.written;
+  let kept: UpstreamError | undefined;
+  const end = await relayBatch(exchange, run.state, {
+    unit: run.unit,
+    next: run.next,
+    epilogue: [],
+    keepsError: (error) => {
+      if (output.written !== before || !isUpstreamStop(error)) return false;
+      kept = error;
+      return true;
+    },
+  }, new DirectSink(output));
+  const untouched = output.written === before;
+  if (end.lost || kept) {
+    exchange.finish(false);
+    if (untouched) {
+      return { kind: "repeat", reason: kept?.message ?? "connection lost" };
+    }
+    return { kind: "failed", failure: truncated(instance) };
+  }
+  const elapsed = performance.now() - begun;
+  context.health.reportLatency(group.database, instance, elapsed);
+  context.metrics.statement(target, "read", elapsed);
+  if (end.status === "I") {
+    if (!end.error) noteSessionState(run.plan, run.state, exchange);
+    exchange.finish(true);
+    return ANSWERED;
+  }
+  const held = {
+    exchange,
+    instance,
+    target,
+    pinned: false,
+    wrote: false,
+    inTransaction: true,
+  };
+  return { kind: "held", held };
+}
+
+function afterRefusal(failure: Failure): Attempt {
+  const elsewhere = failure.code === ResultCodes.UPSTREAM_UNREACHABLE ||
+    failure.code === ResultCodes.UPSTREAM_REFUSED;
+  if (elsewhere) return { kind: "repeat", reason: failure.message };
+  return { kind: "failed", failure };
+}
+
+function resolveMaxAge(run: Run): number {
+  const { reads } = run.group;
+  const name = run.plan.kind ?? run.state.kind;
+  const named = reads.kinds.find((kind) => kind.name === name);
+  if (named) return named.maxAge;
+  const { tables } = run.plan;
+  const matching = reads.kinds.find((kind) =>
+    tables.length > 0 && tables.every((table) => kind.tables.includes(table))
+  );
+  return matching?.maxAge ?? reads.maxAge;
+}
+
+/** The later of the session's position and the statement's; unknown when the session's is and the caller gives none. */
+function joinPositions(
+  known: Position | undefined,
+  given: Position | undefined,
+): Position | undefined {
+  if (known && given) return laterPosition(known, given);
+  return given ?? known;
+}
+
+function truncated(instance: string): Failure {
+  return createFailure(
+    ResultCodes.ANSWER_TRUNCATED,
+    `the connection to ${instance} was lost in the middle of the answer`,
+  );
+}
--- /dev/null
+++ b/src/plugins/callers/session.ts
@@ -0,0 +1,317 @@
+/**
+ * One caller's session: reads units in order, runs each and gives its answer.
+ *
+ * @module
+ */
+import type { Socket } from "node:net";
+import { Events } from "../../kernel/events.ts";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import type { Group } from "../document/document.ts";
+import type { UpstreamConnection } from "../connections/connections.ts";
+import { createFailureMessage } from "../wire/failure_message.ts";
+import {
+  createReady,
+  type Message,
+  type TransactionStatus,
+} from "../wire/message.ts";
+import { MessageLengthError, MessageReader } from "../wire/message_reader.ts";
+import {
+  type CallerContext,
+  groupOf,
+  type SessionIdentity,
+} from "./caller_context.ts";
+import { CallerOutput } from "./caller_output.ts";
+import { runRequest } from "./ledger_run.ts";
+import { createLocalAnswer, type LocalAnswer } from "./local_answer.ts";
+import { createPlan, type Plan } from "./plan.ts";
+import { runRead } from "./read_run.ts";
+import { type HeldConnection, type Run, type RunEnd } from "./run.ts";
+import { badRequestId, type SessionState } from "./session_state.ts";
+import { noteLocalStatements } from "./statements.ts";
+import { runHeld } from "./transaction_run.ts";
+import { enterRequest } from "./transaction_request.ts";
+import {
+  endPreparingUnit,
+  MAX_UNIT_BYTES,
+  type Unit,
+  UnitReader,
+} from "./unit_reader.ts";
+import { runWrite } from "./write_run.ts";
+
+const ABORTED_STATE = createFailure(
+  { ...ResultCodes.TRANSACTION_LOST, sqlState: "25P02" },
+  "the transaction was lost; statements are refused until it is ended",
+);
+
+/** The task of one caller's connection. */
+export class CallerSession {
+  readonly identity: SessionIdentity;
+  readonly #context: CallerContext;
+  readonly #socket: Socket;
+  readonly #output: CallerOutput;
+  readonly #reader: MessageReader;
+  readonly #units: UnitReader;
+  readonly #state: SessionState;
+  #held: HeldConnection | undefined;
+  /** After an error, units are passed over until one ends with a Sync. */
+  #skipping = false;
+  #transactionLost = false;
+  #waiting = false;
+  #draining = false;
+
+  constructor(
+    context: CallerContext,
+    identity: SessionIdentity,
+    socket: Socket,
+    state: SessionState,
+  ) {
+    this.identity = identity;
+    this.#context = context;
+    this.#socket = socket;
+    this.#state = state;
+    this.#output = new CallerOutput(socket);
+    this.#reader = new MessageReader(socket, MAX_UNIT_BYTES);
+    this.#units = new UnitReader(this.#reader);
+  }
+
+  /** Serves the caller until either side ends the connection. */
+  async run(): Promise<void> {
+    try {
+      await this.#serve();
+    } catch (error) {
+      await this.#fail(error);
+    } finally {
+      this.#held?.exchange.finish(false);
+      this.#held = undefined;
+      this.#reader.detach();
+      this.#socket.end();
+    }
+  }
+
+  /** Ends the session as soon as it stands outside a transaction. */
+  drain(): void {
+    this.#draining = true;
+    if (this.#waiting && !this.#held?.inTransaction) this.#sayGoodbye();
+  }
+
+  /** The upstream connection that runs the caller's statement, for a cancel request. */
+  get borrowed(): UpstreamConnection | undefined {
+    return this.#held?.exchange.connection;
+  }
+
+  async #serve(): Promise<void> {
+    for (;;) {
+      if (this.#draining && !this.#held?.inTransaction) {
+        return this.#sayGoodbye();
+      }
+      const unit = await this.#nextUnit();
+      if (!unit) return;
+      await this.#handle(unit);
+      this.#state.touch(performance.now());
+    }
+  }
+
+  async #nextUnit(): Promise<Unit | undefined> {
+    this.#waiting = true;
+    const unit = await this.#units.next();
+    this.#waiting = false;
+    return unit && endPreparingUnit(unit);
+  }
+
+  async #handle(unit: Unit): Promise<void> {
+    if (this.#skipping) return await this.#skip(unit);
+    if (unit.failure) return await this.#refuse(unit, unit.failure);
+    const group = groupOf(this.#context, this.identity);
+    if (!group) return await this.#refuse(unit, unknownDatabase(this.identity));
+    const plan = createPlan(
+      unit,
+      this.#state.statements,
+      this.#context.classifier,
+    );
+    if (plan.copy) return await this.#refuse(unit, unsupportedCommand());
+    if (this.#transactionLost) return await this.#handleLost(unit, plan);
+    const local = this.#answerLocally(plan);
+    if (local) return await this.#giveLocal(unit, local);
+    const run = this.#createRun(unit, plan, group);
+    const end = await this.#dispatch(run);
+    await this.#conclude(run, end);
+  }
+
+  #createRun(unit: Unit, plan: Plan, group: Group): Run {
+    return {
+      context: this.#context,
+      identity: this.identity,
+      group,
+      state: this.#state,
+      output: this.#output,
+      unit,
+      plan,
+      next: () => this.#nextUnit(),
+      deadline: performance.now() + group.queue.deadline,
+    };
+  }
+
+  async #dispatch(run: Run): Promise<RunEnd> {
+    const { plan } = run;
+    const held = this.#held;
+    if (held) return await runHeld(run, held);
+    const step = plan.single?.transaction;
+    if (step === "begin read only") return await runRead(run);
+    if (step === "begin") return await this.#begin(run);
+    if (plan.effect === "read") return await runRead(run);
+    const id = plan.effect === "write" ? this.#takeRequestId(plan) : undefined;
+    if (id !== undefined) return await this.#runRequest(run, id);
+    return await runWrite(run);
+  }
+
+  async #begin(run: Run): Promise<RunEnd> {
+    const id = this.#takeRequestId(run.plan);
+    const end = await runWrite(run);
+    if (id === undefined || end.kind !== "held") return end;
+    return await enterRequest(run, end.held, id);
+  }
+
+  async #runRequest(run: Run, id: string): Promise<RunEnd> {
+    if (!/^[\x21-\x7e]{1,200}$/.test(id)) {
+      return { kind: "failed", failure: badRequestId(id) };
+    }
+    if (run.plan.mixedTransaction || run.unit.end === "flush") {
+      return { kind: "failed", failure: requestForm() };
+    }
+    return await runRequest(run, id);
+  }
+
+  #takeRequestId(plan: Plan): string | undefined {
+    const id = plan.requestId ?? this.#state.requestId;
+    this.#state.requestId = undefined;
+    return id;
+  }
+
+  async #conclude(run: Run, end: RunEnd): Promise<void> {
+    this.#held = end.kind === "held" ? end.held : undefined;
+    if (end.kind === "transaction lost") this.#transactionLost = true;
+    if (end.kind !== "failed" && end.kind !== "transaction lost") return;
+    await this.#refuse(run.unit, end.failure);
+  }
+
+  /** Statements that the proxy answers itself. */
+  #answerLocally(plan: Plan): LocalAnswer | Failure | undefined {
+    const single = plan.single;
+    if (single?.proxySetting) {
+      const set = this.#state.set(single.proxySetting);
+      return set.isErr() ? set.error : { tag: "SET" };
+    }
+    if (single?.proxyShow !== undefined) {
+      const value = this.#state.show(single.proxyShow);
+      if (value === undefined) return unknownSetting(single.proxyShow);
+      return { tag: "SHOW", column: `marjoramshed.${single.proxyShow}`, value };
+    }
+    if (single?.deallocates !== undefined) {
+      const known = this.#state.statements.delete(single.deallocates);
+      if (known) return { tag: "DEALLOCATE" };
+    }
+    return undefined;
+  }
+
+  async #giveLocal(unit: Unit, answer: LocalAnswer | Failure): Promise<void> {
+    if ("code" in answer) return await this.#refuse(unit, answer);
+    noteLocalStatements(unit.messages, this.#state.statements);
+    const messages = createLocalAnswer(unit, answer, this.#status());
+    await this.#write(unit.hidesReady ? messages.slice(0, -1) : messages);
+  }
+
+  async #handleLost(unit: Unit, plan: Plan): Promise<void> {
+    const step = plan.single?.transaction;
+    if (step !== "rollback" && step !== "commit") {
+      return await this.#refuse(unit, ABORTED_STATE);
+    }
+    this.#transactionLost = false;
+    await this.#giveLocal(unit, { tag: "ROLLBACK" });
+  }
+
+  async #skip(unit: Unit): Promise<void> {
+    if (unit.end !== "sync" || unit.hidesReady) return;
+    this.#skipping = false;
+    await this.#write([createReady(this.#status())]);
+  }
+
+  async #refuse(unit: Unit, failure: Failure): Promise<void> {
+    this.#context.metrics.refusal(failure.code.name);
+    this.#context.log.write(Events.STATEMENT_REFUSED, {
+      session: this.identity.id,
+      database: this.identity.database,
+      code: failure.code.number,
+      message: failure.message,
+    });
+    const message = createFailureMessage(failure, "ERROR");
+    const ends = unit.end !== "flush" && !unit.hidesReady;
+    this.#skipping = !ends;
+    await this.#write(
+      ends ? [message, createReady(this.#status())] : [message],
+    );
+  }
+
+  #status(): TransactionStatus {
+    if (this.#transactionLost) return "E";
+    return this.#held?.inTransaction ? "T" : "I";
+  }
+
+  async #write(messages: readonly Message[]): Promise<void> {
+    await this.#output.write(messages.map((message) => message.data));
+  }
+
+  #sayGoodbye(): void {
+    const failure = createFailure(
+      ResultCodes.SHUTTING_DOWN,
+      "the proxy is stopping; connect again",
+    );
+    this.#socket.end(createFailureMessage(failure, "FATAL").data);
+  }
+
+  async #fail(error: unknown): Promise<void> {
+    const malformed = error instanceof MessageLengthError;
+    if (!malformed) {
+      this.#context.log.write(Events.UNEXPECTED, {
+        session: this.identity.id,
+        error: error instanceof Error ? error.stack : String(error),
+      });
+    }
+    const failure = malformed
+      ? createFailure(ResultCodes.PROTOCOL_MALFORMED, error.message)
+      : createFailure(ResultCodes.INTERNAL, "unexpected error in the proxy");
+    await this.#write([createFailureMessage(failure, "FATAL")]);
+  }
+}
+
+function unknownDatabase(identity: SessionIdentity): Failure {
+  return createFailure(
+    ResultCodes.DATABASE_UNKNOWN,
+    `database ${identity.database} is not in the document in force`,
+  );
+}
+
+function unknownSetting(name: string): Failure {
+  return createFailure(
+    ResultCodes.PROTOCOL_UNSUPPORTED,
+    `marjoramshed.${name} is not a setting`,
+    { hint: "Known are position, session, kind and request." },
+  );
+}
+
+function unsupportedCommand(): Failure {
+  return createFailure(
+    ResultCodes.PROTOCOL_UNSUPPORTED,
+    "COPY, LISTEN and NOTIFY are not supported",
+  );
+}
+
+function requestForm(): Failure {
+  return createFailure(
+    ResultCodes.REQUEST_ID_INVALID,
+    "a request id stands for one statement or, on BEGIN, for one transaction",
+  );
+}
--- /dev/null
+++ b/src/plugins/callers/transaction_run.ts
@@ -0,0 +1,126 @@
+/**
+ * Runs units on a connection that the session holds: in a transaction, or
+ * because of state that can't be replayed.
+ *
+ * @module
+ */
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import { relayBatch } from "./batch.ts";
+import { DirectSink, HeldSink } from "./caller_output.ts";
+import type { AnswerEnd } from "./exchange.ts";
+import {
+  ANSWERED,
+  createPositionMessage,
+  type HeldConnection,
+  noteSessionState,
+  POSITION_QUERY,
+  type Run,
+  type RunEnd,
+} from "./run.ts";
+import {
+  acknowledge,
+  logWrite,
+  readPosition,
+  unknownOutcome,
+} from "./write_run.ts";
+
+/** Runs a unit on the held connection. */
+export async function runHeld(run: Run, held: HeldConnection): Promise<RunEnd> {
+  const writes = run.plan.effect === "write" || run.plan.mixedTransaction;
+  const wrote = held.wrote || writes;
+  const commits = wrote && mayCommit(run, held);
+  logWrite(run, held.instance);
+  if (!commits) return await relayOnly(run, { ...held, wrote });
+  return await relayCommit(run, { ...held, wrote });
+}
+
+async function relayOnly(run: Run, held: HeldConnection): Promise<RunEnd> {
+  const begun = performance.now();
+  const sink = new DirectSink(run.output);
+  const end = await relayBatch(held.exchange, run.state, {
+    unit: run.unit,
+    next: run.next,
+    epilogue: [],
+  }, sink);
+  if (end.lost) return afterLoss(run, held, false);
+  const effect = run.plan.effect === "write" ? "write" : "read";
+  run.context.metrics.statement(held.target, effect, performance.now() - begun);
+  return keepOrFinish(run, held, end);
+}
+
+async function relayCommit(run: Run, held: HeldConnection): Promise<RunEnd> {
+  const begun = performance.now();
+  const sink = new HeldSink(run.output);
+  const end = await relayBatch(held.exchange, run.state, {
+    unit: run.unit,
+    next: run.next,
+    epilogue: [POSITION_QUERY],
+  }, sink);
+  if (end.lost) return afterLoss(run, held, true);
+  const position = await readPosition(held.exchange);
+  const committed = sink.holds && end.status === "I" && !end.error;
+  const failure = committed
+    ? await acknowledge(run, position, held.instance)
+    : undefined;
+  if (failure) {
+    held.exchange.finish(false);
+    return { kind: "failed", failure };
+  }
+  await sink.release(
+    committed && position ? [createPositionMessage(position)] : [],
+  );
+  run.context.metrics.statement("primary", "write", performance.now() - begun);
+  return keepOrFinish(run, held, end);
+}
+
+/** Whether the unit may end with a commit: COMMIT itself, a text that holds one, or anything outside a transaction. */
+function mayCommit(run: Run, held: HeldConnection): boolean {
+  const step = run.plan.single?.transaction;
+  if (!held.inTransaction) return step === undefined;
+  return step === "commit" || run.plan.mixedTransaction;
+}
+
+function keepOrFinish(run: Run, held: HeldConnection, end: AnswerEnd): RunEnd {
+  const pinned = held.pinned || run.plan.pinned && !end.error;
+  const inTransaction = end.status !== "I";
+  if (!inTransaction && !end.error) {
+    noteSessionState(run.plan, run.state, held.exchange);
+  }
+  if (run.plan.single?.replayed && inTransaction) {
+    // A setting made in a transaction is undone with it, so what the connection has is not known.
+    held.exchange.connection.settings.set("", "");
+  }
+  if (!inTransaction && !pinned) {
+    held.exchange.finish(true);
+    return ANSWERED;
+  }
+  const wrote = inTransaction && held.wrote;
+  return { kind: "held", held: { ...held, pinned, wrote, inTransaction } };
+}
+
+function afterLoss(
+  run: Run,
+  held: HeldConnection,
+  committing: boolean,
+): RunEnd {
+  held.exchange.finish(false);
+  run.context.health.reportFailure(run.group.database, held.instance);
+  if (committing) {
+    return { kind: "failed", failure: unknownOutcome(held.instance) };
+  }
+  const failure = transactionLost(held.instance);
+  if (held.inTransaction) return { kind: "transaction lost", failure };
+  return { kind: "failed", failure };
+}
+
+function transactionLost(instance: string): Failure {
+  return createFailure(
+    ResultCodes.TRANSACTION_LOST,
+    `the connection to ${instance} was lost; nothing of the transaction was committed`,
+    { hint: "Run the transaction again." },
+  );
+}
--- /dev/null
+++ b/src/plugins/callers/write_run.ts
@@ -0,0 +1,171 @@
+/**
+ * Runs a unit on the primary and acknowledges what it has committed once a
+ * majority of the group's instances holds it.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import { Events } from "../../kernel/events.ts";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import type { Position } from "../upstream/position.ts";
+import { relayBatch } from "./batch.ts";
+import { HeldSink } from "./caller_output.ts";
+import { Exchange, type UpstreamError } from "./exchange.ts";
+import { lendPrimary } from "./primary_lender.ts";
+import {
+  ANSWERED,
+  applySettings,
+  createPositionMessage,
+  isNotPrimary,
+  isUpstreamStop,
+  noteSessionState,
+  POSITION_QUERY,
+  readPositionAnswer,
+  type Run,
+  type RunEnd,
+} from "./run.ts";
+
+type Attempt = RunEnd | { readonly kind: "not run" };
+
+/** Runs a write outside a transaction, a BEGIN, or a control statement. */
+export async function runWrite(run: Run): Promise<RunEnd> {
+  for (;;) {
+    const attempt = await attemptWrite(run);
+    if (attempt.kind !== "not run") return attempt;
+    if (performance.now() >= run.deadline) {
+      return { kind: "failed", failure: noPrimary(run) };
+    }
+  }
+}
+
+async function attemptWrite(run: Run): Promise<Attempt> {
+  const { context, group, plan, state } = run;
+  const lent = await lendPrimary(
+    context,
+    group,
+    group.writes.priority,
+    run.deadline,
+  );
+  if (lent.isErr()) return { kind: "failed", failure: lent.error };
+  const { connection, instance } = lent.value;
+  logWrite(run, instance);
+  const exchange = new Exchange(connection);
+  const ready = await applySettings(exchange, state);
+  if (!ready || exchange.lost) {
+    exchange.finish(false);
+    return { kind: "not run" };
+  }
+  const begun = performance.now();
+  const writes = plan.effect === "write" || plan.mixedTransaction;
+  const sink = new HeldSink(run.output);
+  let refused: UpstreamError | undefined;
+  const end = await relayBatch(exchange, state, {
+    unit: run.unit,
+    next: run.next,
+    epilogue: writes ? [POSITION_QUERY] : [],
+    keepsError: (error) => {
+      const kept = !sink.holds && isNotPrimary(error) || isUpstreamStop(error);
+      if (kept) refused = error;
+      return kept;
+    },
+  }, sink);
+  if (refused || end.lost) {
+    exchange.finish(false);
+    context.health.reportFailure(group.database, instance);
+    if (refused && isNotPrimary(refused)) return { kind: "not run" };
+    return { kind: "failed", failure: unknownOutcome(instance) };
+  }
+  const position = writes ? await readPosition(exchange) : undefined;
+  const pinned = plan.pinned && !end.error;
+  const idle = end.status === "I";
+  if (idle && !end.error) noteSessionState(plan, state, exchange);
+  // The connection goes back before the acknowledgement, which needs no connection.
+  if (idle && !pinned) exchange.finish(true);
+  const failure = sink.holds && writes && idle
+    ? await acknowledge(run, position, instance)
+    : undefined;
+  if (failure) {
+    if (!idle || pinned) exchange.finish(false);
+    return { kind: "failed", failure };
+  }
+  const told = position && sink.holds ? [createPositionMessage(position)] : [];
+  await sink.release(told);
+  context.metrics.statement("primary", "write", performance.now() - begun);
+  if (idle && !pinned) return ANSWERED;
+  const held = {
+    exchange,
+    instance,
+    target: "primary" as const,
+    pinned,
+    wrote: !idle && writes,
+    inTransaction: !idle,
+  };
+  return { kind: "held", held };
+}
+
+/** Reads the answer to POSITION_QUERY, which was sent behind the unit. */
+export async function readPosition(
+  exchange: Exchange,
+): Promise<Position | undefined> {
+  return readPositionAnswer(await exchange.readInternal());
+}
+
+/** Waits until a commit is acknowledged; a failure after this point never says "not run". */
+export async function acknowledge(
+  run: Run,
+  position: Position | undefined,
+  instance: string,
+): Promise<Failure | undefined> {
+  if (!position) return unknownOutcome(instance);
+  const result = await confirmPosition(run, position);
+  if (result.isErr()) return result.error;
+  run.state.advance(position);
+  run.state.lastWriteAt = performance.now();
+  return undefined;
+}
+
+async function confirmPosition(
+  run: Run,
+  position: Position,
+): Promise<Result<void, Failure>> {
+  const { database, writes } = run.group;
+  if (writes.acknowledge === "primary") return ok(undefined);
+  const deadline = performance.now() + writes.acknowledgeDeadline;
+  const result = await run.context.health.confirm(database, position, deadline);
+  if (result.isOk()) return result;
+  if (result.error.code.outcome === "outcome unknown") return result;
+  return err(createFailure(
+    ResultCodes.ACKNOWLEDGE_DEADLINE,
+    `the write ran, but no majority of ${database} was seen to hold it`,
+    { detail: result.error.message },
+  ));
+}
+
+/** The failure after a connection was lost with a write under way. */
+export function unknownOutcome(instance: string): Failure {
+  return createFailure(
+    ResultCodes.OUTCOME_UNKNOWN,
+    `the connection to ${instance} was lost before the write was answered`,
+    { hint: "Read back, or repeat the request under a request id." },
+  );
+}
+
+function noPrimary(run: Run): Failure {
+  return createFailure(
+    ResultCodes.PRIMARY_ABSENT,
+    `no primary of ${run.group.database} took the statement before its deadline`,
+  );
+}
+
+/** Logs where a write or a transaction goes. */
+export function logWrite(run: Run, instance: string): void {
+  run.context.log.write(Events.WRITE_ROUTED, {
+    session: run.identity.id,
+    database: run.group.database,
+    instance,
+  });
+}
--- /dev/null
+++ b/src/plugins/wire/message.ts
@@ -0,0 +1,119 @@
+/**
+ * Whole messages of the PostgreSQL protocol, version 3, as they stand on the
+ * wire: a type byte, a length and a body. Bodies are passed on unread except
+ * for the few fields that routing needs.
+ *
+ * @module
+ */
+import { serialize } from "pg-protocol";
+
+/** One whole message; `data` holds the type byte, the length and the body. */
+export interface Message {
+  readonly type: number;
+  readonly data: Buffer;
+}
+
+/** Types of the messages that callers send. */
+export const FrontendType = {
+  BIND: 0x42,
+  CLOSE: 0x43,
+  COPY_DATA: 0x64,
+  COPY_DONE: 0x63,
+  COPY_FAIL: 0x66,
+  DESCRIBE: 0x44,
+  EXECUTE: 0x45,
+  FLUSH: 0x48,
+  FUNCTION_CALL: 0x46,
+  PARSE: 0x50,
+  QUERY: 0x51,
+  SYNC: 0x53,
+  TERMINATE: 0x58,
+} as const;
+
+/** Types of the messages that upstreams send. */
+export const BackendType = {
+  BIND_COMPLETE: 0x32,
+  CLOSE_COMPLETE: 0x33,
+  COMMAND_COMPLETE: 0x43,
+  COPY_IN: 0x47,
+  DATA_ROW: 0x44,
+  EMPTY_QUERY: 0x49,
+  ERROR: 0x45,
+  NO_DATA: 0x6e,
+  NOTICE: 0x4e,
+  NOTIFICATION: 0x41,
+  PARAMETER_DESCRIPTION: 0x74,
+  PARAMETER_STATUS: 0x53,
+  PARSE_COMPLETE: 0x31,
+  PORTAL_SUSPENDED: 0x73,
+  READY_FOR_QUERY: 0x5a,
+  ROW_DESCRIPTION: 0x54,
+} as const;
+
+/** Length of the type byte and the length field. */
+export const HEADER_LENGTH = 5;
+
+/** Transaction status of a ReadyForQuery message. */
+export type TransactionStatus = "I" | "T" | "E";
+
+/** The status in a ReadyForQuery message. */
+export function readStatus(message: Message): TransactionStatus {
+  return String.fromCharCode(message.data[HEADER_LENGTH]!) as TransactionStatus;
+}
+
+/** The zero-terminated text at an offset of a message; undefined when it does not end. */
+export function readText(
+  message: Message,
+  offset: number,
+): { readonly text: string; readonly end: number } | undefined {
+  const end = message.data.indexOf(0, offset);
+  if (end < 0) return undefined;
+  return { text: message.data.toString("utf8", offset, end), end: end + 1 };
+}
+
+/** Makes a message from its type and body. */
+export function createMessage(type: number, body: Buffer): Message {
+  const data = Buffer.allocUnsafe(HEADER_LENGTH + body.length);
+  data[0] = type;
+  data.writeUInt32BE(4 + body.length, 1);
+  body.copy(data, HEADER_LENGTH);
+  return { type, data };
+}
+
+/** Makes a Query message. */
+export function createQuery(text: string): Buffer {
+  return serialize.query(text);
+}
+
+/** A ReadyForQuery message with the given status. */
+export function createReady(status: TransactionStatus): Message {
+  return createMessage(BackendType.READY_FOR_QUERY, Buffer.from(status));
+}
+
+/** A CommandComplete message with the given tag. */
+export function createComplete(tag: string): Message {
+  return createMessage(BackendType.COMMAND_COMPLETE, Buffer.from(tag + "\0"));
+}
+
+/** A ParameterStatus message. */
+export function createParameterStatus(name: string, value: string): Message {
+  const body = Buffer.from(`${name}\0${value}\0`);
+  return createMessage(BackendType.PARAMETER_STATUS, body);
+}
+
+/** A message without a body, such as ParseComplete. */
+export function createEmpty(type: number): Message {
+  return createMessage(type, Buffer.alloc(0));
+}
+
+/** Splits bytes that hold whole messages only. */
+export function splitMessages(data: Buffer): readonly Message[] {
+  const messages: Message[] = [];
+  let offset = 0;
+  while (offset + HEADER_LENGTH <= data.length) {
+    const end = offset + 1 + data.readUInt32BE(offset + 1);
+    messages.push({ type: data[offset]!, data: data.subarray(offset, end) });
+    offset = end;
+  }
+  return messages;
+}
