--- /dev/null
+++ b/src/plugins/document/diff_documents.ts
@@ -0,0 +1,100 @@
+/**
+ * Differences between two documents by path.
+ *
+ * @module
+ */
+import type { Document } from "./document.ts";
+
+/** One difference; undefined stands for absent, durations are in ms. */
+export interface Change {
+  /** Such as `environments.trial.groups[booking].reads.maxAge`. */
+  readonly path: string;
+  readonly before: unknown;
+  readonly after: unknown;
+}
+
+const HIDDEN = "(hidden)";
+
+/** All differences, in the order of the documents; hashes of passwords are hidden. */
+export function diffDocuments(
+  before: Document | undefined,
+  after: Document,
+): readonly Change[] {
+  return diffValues("", before, after);
+}
+
+/** One line for people. */
+export function formatChange(change: Change): string {
+  const { path, before, after } = change;
+  if (before === undefined) return `+ ${path}: ${JSON.stringify(after)}`;
+  if (after === undefined) return `- ${path}: ${JSON.stringify(before)}`;
+  return `~ ${path}: ${JSON.stringify(before)} -> ${JSON.stringify(after)}`;
+}
+
+function diffValues(path: string, before: unknown, after: unknown): Change[] {
+  if (Array.isArray(before) && Array.isArray(after)) {
+    return diffLists(path, before, after);
+  }
+  if (isObject(before) && isObject(after)) {
+    return diffObjects(path, before, after);
+  }
+  if (before === after) return [];
+  const hide = path.endsWith(".password");
+  return [{
+    path,
+    before: hide && before !== undefined ? HIDDEN : withoutPasswords(before),
+    after: hide && after !== undefined ? HIDDEN : withoutPasswords(after),
+  }];
+}
+
+function diffObjects(
+  path: string,
+  before: Readonly<Record<string, unknown>>,
+  after: Readonly<Record<string, unknown>>,
+): Change[] {
+  const keys = new Set([...Object.keys(before), ...Object.keys(after)]);
+  return [...keys].flatMap((key) =>
+    diffValues(path === "" ? key : `${path}.${key}`, before[key], after[key])
+  );
+}
+
+function diffLists(
+  path: string,
+  before: readonly unknown[],
+  after: readonly unknown[],
+): Change[] {
+  const left = indexByName(before);
+  const right = indexByName(after);
+  const names = new Set([...left.keys(), ...right.keys()]);
+  return [...names].flatMap((name) =>
+    diffValues(`${path}[${name}]`, left.get(name), right.get(name))
+  );
+}
+
+/** Items of a list under their name, or under the item itself or its place. */
+function indexByName(items: readonly unknown[]): Map<string, unknown> {
+  const index = new Map<string, unknown>();
+  items.forEach((item, place) => index.set(nameOf(item, place), item));
+  return index;
+}
+
+function nameOf(item: unknown, place: number): string {
+  if (typeof item === "string") return item;
+  if (!isObject(item)) return String(place);
+  return String(item["name"] ?? item["database"] ?? place);
+}
+
+function withoutPasswords(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(withoutPasswords);
+  if (!isObject(value)) return value;
+  return Object.fromEntries(
+    Object.entries(value).map(([key, item]) => [
+      key,
+      key === "password" ? HIDDEN : withoutPasswords(item),
+    ]),
+  );
+}
+
+function isObject(value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
--- a/src/plugins/document/document.ts
+++ b/src/plugins/document/document.ts
@@ -138,6 +138,26 @@
   service: name,
   accounts: z.array(account).min(1),
   environments: z.record(name, environment),
+}).superRefine((value, context) => {
+  reportRepeated(
+    value.accounts.map((item) => item.name),
+    ["accounts"],
+    context,
+  );
+  const databases = new Set(
+    Object.values(value.environments)
+      .flatMap((item) => item.groups.map((one) => one.database)),
+  );
+  value.accounts.forEach((item, index) => {
+    item.databases.forEach((one, place) => {
+      if (databases.has(one)) return;
+      context.addIssue({
+        code: "custom",
+        path: ["accounts", index, "databases", place],
+        message: `expected one of the databases ${[...databases].join(", ")}`,
+      });
+    });
+  });
 });
 
 /** The operators' document, checked; all durations in ms. */
--- /dev/null
+++ b/src/plugins/document/nearest_name.ts
@@ -0,0 +1,36 @@
+/**
+ * Suggests the known name that a mistyped one most likely stands for.
+ *
+ * @module
+ */
+
+const GREATEST_DISTANCE = 3;
+
+/** The known name with the least edit distance; undefined when none is near. */
+export function nearestName(
+  name: string,
+  known: readonly string[],
+): string | undefined {
+  const limit = Math.min(GREATEST_DISTANCE, Math.ceil(name.length / 2));
+  const ranked = known
+    .map((candidate) => ({ candidate, distance: distance(name, candidate) }))
+    .filter((item) => item.distance <= limit)
+    .sort((a, b) => a.distance - b.distance);
+  return ranked[0]?.candidate;
+}
+
+/** Levenshtein distance, case ignored. */
+function distance(left: string, right: string): number {
+  const a = left.toLowerCase();
+  const b = right.toLowerCase();
+  let row = Array.from({ length: b.length + 1 }, (_, index) => index);
+  for (let i = 1; i <= a.length; i += 1) {
+    const next = [i];
+    for (let j = 1; j <= b.length; j += 1) {
+      const substitution = row[j - 1]! + (a[i - 1] === b[j - 1] ? 0 : 1);
+      next.push(Math.min(row[j]! + 1, next[j - 1]! + 1, substitution));
+    }
+    row = next;
+  }
+  return row[b.length]!;
+}
