Stand-ins of the table service, object store and host list, and their clients

Purpose: the platform as separate processes with settable faults, and the plug-ins that reach it. The SDK's own retries are off, so that a lost reply comes back as a failure whose outcome the caller settles. New event 320, platform-recovered, ends a row of failures.

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -41,6 +41,7 @@
   PEER_SUSPECTED: event(306, "peer-suspected", "warn"),
   PEER_GONE: event(307, "peer-gone", "warn"),
   PEER_REFUSED: event(308, "peer-refused", "warn"),
+  PLATFORM_RECOVERED: event(320, "platform-recovered", "info"),
   CALLER_CONNECTED: event(401, "caller-connected", "debug"),
   CALLER_DISCONNECTED: event(402, "caller-disconnected", "debug"),
   CALLER_REFUSED: event(403, "caller-refused", "warn"),
--- /dev/null
+++ b/src/plugins/object_store/s3_objects.ts
@@ -0,0 +1,111 @@
+/**
+ * The object store over the S3 protocol.
+ *
+ * @module
+ */
+import { Agent } from "node:http";
+import {
+  GetObjectCommand,
+  NoSuchKey,
+  PutObjectCommand,
+  S3Client,
+} from "@aws-sdk/client-s3";
+import { NodeHttpHandler } from "@smithy/node-http-handler";
+import { ResultAsync } from "neverthrow";
+import { type EventLog, Events } from "../../kernel/events.ts";
+import { describeError, OutageLog } from "../../kernel/outage_log.ts";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import type { ObjectStore } from "./object_store.ts";
+
+const REQUEST_TIMEOUT_MS = 1_000;
+
+/** How to reach the object store. */
+export interface S3ObjectsOptions {
+  readonly url: string;
+  readonly bucket: string;
+  readonly accessKey: string;
+  readonly secret: string;
+  /** IP number to connect from; default lets the system choose. */
+  readonly address?: string;
+  /** Region that requests are signed for; default `local`. */
+  readonly region?: string;
+  readonly log: EventLog;
+}
+
+/** Texts in one bucket. It never sends a request twice. */
+export class S3Objects implements ObjectStore {
+  readonly #client: S3Client;
+  readonly #bucket: string;
+  readonly #outage: OutageLog;
+
+  constructor(options: S3ObjectsOptions) {
+    this.#bucket = options.bucket;
+    this.#outage = new OutageLog(
+      options.log,
+      Events.OBJECT_STORE_FAILED,
+      "object store",
+    );
+    const agent = new Agent({ keepAlive: true, localAddress: options.address });
+    this.#client = new S3Client({
+      endpoint: options.url,
+      region: options.region ?? "local",
+      forcePathStyle: true,
+      credentials: {
+        accessKeyId: options.accessKey,
+        secretAccessKey: options.secret,
+      },
+      maxAttempts: 1,
+      requestChecksumCalculation: "WHEN_REQUIRED",
+      responseChecksumValidation: "WHEN_REQUIRED",
+      requestHandler: new NodeHttpHandler({ httpAgent: agent }),
+    });
+  }
+
+  get(key: string): ResultAsync<string | undefined, Failure> {
+    return this.#run(async (abortSignal) => {
+      const command = new GetObjectCommand({ Bucket: this.#bucket, Key: key });
+      try {
+        const answer = await this.#client.send(command, { abortSignal });
+        return await answer.Body?.transformToString("utf-8");
+      } catch (error) {
+        if (error instanceof NoSuchKey) return undefined;
+        throw error;
+      }
+    });
+  }
+
+  put(key: string, text: string): ResultAsync<void, Failure> {
+    return this.#run(async (abortSignal) => {
+      const command = new PutObjectCommand({
+        Bucket: this.#bucket,
+        Key: key,
+        Body: text,
+      });
+      await this.#client.send(command, { abortSignal });
+    });
+  }
+
+  /** Closes all connections. */
+  stop(): Promise<void> {
+    this.#client.destroy();
+    return Promise.resolve();
+  }
+
+  #run<T>(
+    work: (abortSignal: AbortSignal) => Promise<T>,
+  ): ResultAsync<T, Failure> {
+    const running = work(AbortSignal.timeout(REQUEST_TIMEOUT_MS));
+    return ResultAsync.fromPromise(running, (error) => {
+      this.#outage.failed(error);
+      return createFailure(
+        ResultCodes.OBJECT_STORE_UNAVAILABLE,
+        "the object store gave no answer",
+        { detail: describeError(error) },
+      );
+    }).andTee(() => this.#outage.succeeded());
+  }
+}
--- /dev/null
+++ b/src/plugins/table_service/dynamo_table.ts
@@ -0,0 +1,174 @@
+/**
+ * The table service over the DynamoDB protocol.
+ *
+ * @module
+ */
+import { Agent } from "node:http";
+import {
+  type AttributeValue,
+  ConditionalCheckFailedException,
+  DynamoDBClient,
+  GetItemCommand,
+  type Put,
+  PutItemCommand,
+  TransactionCanceledException,
+  TransactWriteItemsCommand,
+} from "@aws-sdk/client-dynamodb";
+import { NodeHttpHandler } from "@smithy/node-http-handler";
+import { ResultAsync } from "neverthrow";
+import { type EventLog, Events } from "../../kernel/events.ts";
+import { describeError, OutageLog } from "../../kernel/outage_log.ts";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import type {
+  ConditionalPut,
+  PutOutcome,
+  Row,
+  TableService,
+} from "./table_service.ts";
+
+const REQUEST_TIMEOUT_MS = 1_000;
+const KEY_ATTRIBUTE = "key";
+const CONDITION_FAILED = "ConditionalCheckFailed";
+
+/** How to reach the table service. */
+export interface DynamoTableOptions {
+  readonly url: string;
+  readonly table: string;
+  readonly accessKey: string;
+  readonly secret: string;
+  /** IP number to connect from; default lets the system choose. */
+  readonly address?: string;
+  /** Region that requests are signed for; default `local`. */
+  readonly region?: string;
+  readonly log: EventLog;
+}
+
+/** Rows of one table. It never sends a request twice; the caller settles an unknown outcome. */
+export class DynamoTable implements TableService {
+  readonly #client: DynamoDBClient;
+  readonly #table: string;
+  readonly #outage: OutageLog;
+
+  constructor(options: DynamoTableOptions) {
+    this.#table = options.table;
+    this.#outage = new OutageLog(
+      options.log,
+      Events.TABLE_SERVICE_FAILED,
+      "table service",
+    );
+    const agent = new Agent({ keepAlive: true, localAddress: options.address });
+    this.#client = new DynamoDBClient({
+      endpoint: options.url,
+      region: options.region ?? "local",
+      credentials: {
+        accessKeyId: options.accessKey,
+        secretAccessKey: options.secret,
+      },
+      maxAttempts: 1,
+      requestHandler: new NodeHttpHandler({ httpAgent: agent }),
+    });
+  }
+
+  get(key: string): ResultAsync<Row | undefined, Failure> {
+    return this.#run(async (abortSignal) => {
+      const command = new GetItemCommand({
+        TableName: this.#table,
+        Key: { [KEY_ATTRIBUTE]: { S: key } },
+        ConsistentRead: true,
+      });
+      const answer = await this.#client.send(command, { abortSignal });
+      return answer.Item && readRow(key, answer.Item);
+    });
+  }
+
+  put(puts: readonly ConditionalPut[]): ResultAsync<PutOutcome, Failure> {
+    return this.#run(async (abortSignal) => {
+      try {
+        await this.#write(puts.map((put) => this.#writePut(put)), abortSignal);
+        return "written";
+      } catch (error) {
+        if (isConditionFailure(error)) return "condition failed";
+        throw error;
+      }
+    });
+  }
+
+  /** Closes all connections. */
+  stop(): Promise<void> {
+    this.#client.destroy();
+    return Promise.resolve();
+  }
+
+  async #write(puts: readonly Put[], abortSignal: AbortSignal): Promise<void> {
+    const [first] = puts;
+    if (puts.length === 1 && first) {
+      await this.#client.send(new PutItemCommand(first), { abortSignal });
+      return;
+    }
+    const items = puts.map((Put) => ({ Put }));
+    const command = new TransactWriteItemsCommand({ TransactItems: items });
+    await this.#client.send(command, { abortSignal });
+  }
+
+  #writePut(put: ConditionalPut): Put {
+    const base = { TableName: this.#table, Item: writeItem(put.row) };
+    if (put.condition.kind === "absent") {
+      return {
+        ...base,
+        ConditionExpression: "attribute_not_exists(#name)",
+        ExpressionAttributeNames: { "#name": KEY_ATTRIBUTE },
+      };
+    }
+    return {
+      ...base,
+      ConditionExpression: "#name = :value",
+      ExpressionAttributeNames: { "#name": put.condition.attribute },
+      ExpressionAttributeValues: { ":value": writeValue(put.condition.value) },
+    };
+  }
+
+  #run<T>(
+    work: (abortSignal: AbortSignal) => Promise<T>,
+  ): ResultAsync<T, Failure> {
+    const running = work(AbortSignal.timeout(REQUEST_TIMEOUT_MS));
+    return ResultAsync.fromPromise(running, (error) => {
+      this.#outage.failed(error);
+      return createFailure(
+        ResultCodes.TABLE_SERVICE_UNAVAILABLE,
+        "the table service gave no answer",
+        { detail: describeError(error) },
+      );
+    }).andTee(() => this.#outage.succeeded());
+  }
+}
+
+function isConditionFailure(error: unknown): boolean {
+  if (error instanceof ConditionalCheckFailedException) return true;
+  if (!(error instanceof TransactionCanceledException)) return false;
+  const reasons = error.CancellationReasons ?? [];
+  return reasons.some((reason) => reason.Code === CONDITION_FAILED);
+}
+
+function writeItem(row: Row): Record<string, AttributeValue> {
+  const attributes = Object.entries(row.attributes)
+    .map(([name, value]) => [name, writeValue(value)]);
+  return { ...Object.fromEntries(attributes), [KEY_ATTRIBUTE]: { S: row.key } };
+}
+
+function writeValue(value: string | number): AttributeValue {
+  return typeof value === "number" ? { N: String(value) } : { S: value };
+}
+
+function readRow(key: string, item: Record<string, AttributeValue>): Row {
+  const attributes: Record<string, string | number> = {};
+  for (const [name, value] of Object.entries(item)) {
+    if (name === KEY_ATTRIBUTE) continue;
+    if (value.S !== undefined) attributes[name] = value.S;
+    if (value.N !== undefined) attributes[name] = Number(value.N);
+  }
+  return { key, attributes };
+}
--- /dev/null
+++ b/standins/common/faulty_server.ts
@@ -0,0 +1,175 @@
+/**
+ * An HTTP server with an operator's side path `/_faults`.
+ *
+ * `PUT /_faults` takes a JSON object; keys that are left out keep their value:
+ * - `down`: closes the connection of every request without an answer;
+ * - `delayMs`: waits before a request takes effect;
+ * - `loseReply`: the next N changes take effect, but their connection is closed
+ *   without an answer;
+ * - `lagMs`: only for the host list, the time until a change shows.
+ *
+ * `GET /_faults` gives `{faults, requests}`, the latter counted by operation.
+ *
+ * @module
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { z } from "zod";
+
+const faultsSchema = z.strictObject({
+  down: z.boolean().default(false),
+  delayMs: z.number().min(0).default(0),
+  loseReply: z.number().int().min(0).default(0),
+  lagMs: z.number().min(0).default(0),
+});
+
+/** Faults in effect. */
+export type Faults = Readonly<z.infer<typeof faultsSchema>>;
+
+/** A request whose body was read to its end. */
+export interface WholeRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: Buffer;
+}
+
+/** An answer and what the request did. */
+export interface Answer {
+  readonly status: number;
+  readonly contentType?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string | Buffer;
+  /** Name under which the request is counted. */
+  readonly operation: string;
+  /** Whether the request changed something. */
+  readonly changed?: boolean;
+}
+
+/** Serves requests under the faults that an operator has set. */
+export class FaultyServer {
+  readonly server: Server;
+  #faults: Faults;
+  readonly #requests = new Map<string, number>();
+  readonly #handle: (request: WholeRequest, faults: Faults) => Answer;
+
+  constructor(
+    handle: (request: WholeRequest, faults: Faults) => Answer,
+    initial: Partial<Faults> = {},
+  ) {
+    this.#handle = handle;
+    this.#faults = faultsSchema.parse(initial);
+    this.server = createServer((request, response) => {
+      this.#serve(request, response).catch((error) => {
+        console.error(`request failed: ${error}`);
+        request.socket.destroy();
+      });
+    });
+  }
+
+  /** Closes the server and all its connections. */
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const whole = await readRequest(request);
+    if (whole.path === "/_faults") {
+      send(response, this.#serveFaults(whole));
+      return;
+    }
+    if (this.#faults.down) {
+      this.#count("refused while down");
+      request.socket.destroy();
+      return;
+    }
+    if (this.#faults.delayMs > 0) await sleep(this.#faults.delayMs);
+    const answer = this.#handle(whole, this.#faults);
+    this.#count(answer.operation);
+    if (answer.changed && this.#faults.loseReply > 0) {
+      const loseReply = this.#faults.loseReply - 1;
+      this.#faults = { ...this.#faults, loseReply };
+      request.socket.destroy();
+      return;
+    }
+    send(response, answer);
+  }
+
+  #serveFaults(request: WholeRequest): Answer {
+    if (request.method === "PUT") {
+      const parsed = faultsSchema.partial().safeParse(parseJson(request.body));
+      if (!parsed.success) {
+        return jsonAnswer(400, "faults", { error: parsed.error.message });
+      }
+      this.#faults = faultsSchema.parse({ ...this.#faults, ...given(parsed) });
+    }
+    const requests = Object.fromEntries(this.#requests);
+    return jsonAnswer(200, "faults", { faults: this.#faults, requests });
+  }
+
+  #count(operation: string): void {
+    this.#requests.set(operation, (this.#requests.get(operation) ?? 0) + 1);
+  }
+}
+
+/** An answer with a JSON body. */
+export function jsonAnswer(
+  status: number,
+  operation: string,
+  value: unknown,
+  changed = false,
+): Answer {
+  return {
+    status,
+    operation,
+    changed,
+    contentType: "application/json",
+    body: JSON.stringify(value),
+  };
+}
+
+/** Parses a JSON body; undefined when it is malformed. */
+export function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString("utf8"));
+  } catch {
+    return undefined;
+  }
+}
+
+function given(parsed: { readonly data: Partial<Faults> }): Partial<Faults> {
+  const entries = Object.entries(parsed.data);
+  return Object.fromEntries(entries.filter(([, value]) => value !== undefined));
+}
+
+async function readRequest(request: IncomingMessage): Promise<WholeRequest> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  const path = new URL(request.url ?? "/", "http://localhost").pathname;
+  return {
+    method: request.method ?? "GET",
+    path: decodeURIComponent(path),
+    headers: request.headers,
+    body: Buffer.concat(chunks),
+  };
+}
+
+function send(response: ServerResponse, answer: Answer): void {
+  if (response.destroyed) return;
+  const body = answer.body ?? "";
+  response.writeHead(answer.status, {
+    ...(answer.contentType ? { "content-type": answer.contentType } : {}),
+    "content-length": Buffer.byteLength(body),
+    ...answer.headers,
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/standins/host_list/main.ts
@@ -0,0 +1,105 @@
+/**
+ * The host list's stand-in: JSON over HTTP, with a settable lag.
+ *
+ * - `GET /hosts` gives `{hosts: [...]}` as it was `lagMs` ago;
+ * - `PUT /hosts` takes `{hosts: [...]}` in place of the whole list;
+ * - `PUT /hosts/NAME` takes one host, `PATCH /hosts/NAME` takes `{state}`;
+ * - `DELETE /hosts/NAME` drops one.
+ *
+ * @module
+ */
+import { z } from "zod";
+import {
+  hostListSchema,
+  hostSchema,
+} from "../../src/plugins/host_list/http_host_list.ts";
+import type { Host } from "../../src/plugins/host_list/host_list.ts";
+import {
+  announceReady,
+  daemonFlags,
+  listen,
+  readFlags,
+  stopOnSignal,
+} from "../common/daemon.ts";
+import {
+  type Answer,
+  FaultyServer,
+  jsonAnswer,
+  parseJson,
+  type WholeRequest,
+} from "../common/faulty_server.ts";
+
+interface Version {
+  readonly at: number;
+  readonly hosts: readonly Host[];
+}
+
+const patchSchema = hostSchema.pick({ state: true });
+let versions: readonly Version[] = [{ at: -Infinity, hosts: [] }];
+
+function newestHosts(): readonly Host[] {
+  return versions.at(-1)!.hosts;
+}
+
+function shownHosts(lagMs: number): readonly Host[] {
+  const shownAt = performance.now() - lagMs;
+  const shown = versions.findLastIndex((version) => version.at <= shownAt);
+  if (lagMs === 0) versions = versions.slice(shown);
+  return versions[lagMs === 0 ? 0 : Math.max(shown, 0)]!.hosts;
+}
+
+function change(operation: string, hosts: readonly Host[]): Answer {
+  versions = [...versions, { at: performance.now(), hosts }];
+  return jsonAnswer(200, operation, { hosts }, true);
+}
+
+function answerOne(name: string, request: WholeRequest): Answer {
+  const others = newestHosts().filter((host) => host.name !== name);
+  const found = newestHosts().find((host) => host.name === name);
+  switch (request.method) {
+    case "PUT": {
+      const host = hostSchema.parse(parseJson(request.body));
+      return change("put host", [...others, host]);
+    }
+    case "PATCH": {
+      const patch = patchSchema.parse(parseJson(request.body));
+      if (!found) return jsonAnswer(404, "patch", { error: "no such host" });
+      return change("patch host", [...others, { ...found, ...patch }]);
+    }
+    case "DELETE":
+      return change("delete host", others);
+    default:
+      return jsonAnswer(405, "other", { error: "unsupported method" });
+  }
+}
+
+function answerRequest(request: WholeRequest, lagMs: number): Answer {
+  if (request.path.startsWith("/hosts/")) {
+    return answerOne(request.path.slice("/hosts/".length), request);
+  }
+  if (request.path !== "/hosts") {
+    return jsonAnswer(404, "other", { error: "no such path" });
+  }
+  if (request.method === "PUT") {
+    const list = hostListSchema.parse(parseJson(request.body));
+    return change("put list", list.hosts);
+  }
+  return jsonAnswer(200, "get list", { hosts: shownHosts(lagMs) });
+}
+
+const flags = readFlags({
+  ...daemonFlags,
+  /** Time until a change shows, in ms. */
+  lag: z.coerce.number().min(0).default(0),
+});
+const daemon = new FaultyServer((request, faults) => {
+  try {
+    return answerRequest(request, faults.lagMs);
+  } catch (error) {
+    if (!(error instanceof z.ZodError)) throw error;
+    return jsonAnswer(400, "other", { error: error.message });
+  }
+}, { lagMs: flags.lag });
+const { port } = await listen(daemon.server, flags.address, flags.port);
+stopOnSignal(() => daemon.stop());
+announceReady(flags.address, port);
--- /dev/null
+++ b/standins/table_service/main.ts
@@ -0,0 +1,27 @@
+/**
+ * The table service's stand-in: a daemon that speaks the DynamoDB protocol.
+ *
+ * @module
+ */
+import { z } from "zod";
+import {
+  announceReady,
+  daemonFlags,
+  listen,
+  readFlags,
+  stopOnSignal,
+} from "../common/daemon.ts";
+import { FaultyServer } from "../common/faulty_server.ts";
+import { answerRequest } from "./protocol.ts";
+import { Tables } from "./tables.ts";
+
+const flags = readFlags({
+  ...daemonFlags,
+  /** Name of the attribute that is the key of every table. */
+  keyAttribute: z.string().min(1).default("key"),
+});
+const tables = new Tables(flags.keyAttribute);
+const daemon = new FaultyServer((request) => answerRequest(tables, request));
+const { port } = await listen(daemon.server, flags.address, flags.port);
+stopOnSignal(() => daemon.stop());
+announceReady(flags.address, port);
--- /dev/null
+++ b/test/support/eventually.ts
@@ -0,0 +1,24 @@
+/**
+ * Waiting for a condition in tests.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+
+const DEADLINE_MS = 30_000;
+const POLL_INTERVAL_MS = 20;
+
+/** Polls until the condition holds; throws at the deadline. */
+export async function eventually(
+  condition: () => boolean | Promise<boolean>,
+  what = "the condition",
+  deadlineMs = DEADLINE_MS,
+): Promise<void> {
+  const deadline = performance.now() + deadlineMs;
+  while (!await condition()) {
+    if (performance.now() > deadline) {
+      throw new Error(`${what} does not hold after ${deadlineMs} ms`);
+    }
+    await sleep(POLL_INTERVAL_MS);
+  }
+}
