Classify statements with the real grammar

Purpose: a statement may go to a replica only when it is proved to read only. The proof is by allow-lists of nodes, clauses and functions; whatever stands in no list is a write. What pins a session always counts as a write.

Ruled out: a cache by the whole text, since a request id in the leading comment would make each text a new one; leading comments are cut off first. Texts whose tree is deeper than the stack, or over 512 KB, count as writes that pin the session.

Not proved by the text: views, domains, casts and operators whose definitions call volatile functions, and user functions that leave advisory locks behind.

--- /dev/null
+++ b/src/plugins/classification/grammar_classifier.ts
@@ -0,0 +1,152 @@
+/**
+ * Classifies texts with the grammar of PostgreSQL itself, through `libpg-query`.
+ *
+ * @module
+ */
+import { loadModule, parseSync } from "libpg-query";
+import { LRUCache } from "lru-cache";
+import type { Service } from "../../kernel/kernel.ts";
+import type { Classification, Classifier, Effect } from "./classification.ts";
+import { readLeadingComment } from "./leading_comment.ts";
+import {
+  type StatementSummary,
+  summarizeStatement,
+} from "./statement_summary.ts";
+import type { Tree } from "./statement_scan.ts";
+
+const CACHE_MAX_TEXTS = 20_000;
+const CACHE_MAX_BYTES = 16 * 1024 * 1024;
+const CACHED_TEXT_MAX_CHARS = 16 * 1024;
+const PARSED_TEXT_MAX_CHARS = 512 * 1024;
+
+/** Bytes of a cache entry besides its text. */
+const ENTRY_BYTES = 400;
+
+const EMPTY: Classification = Object.freeze({
+  effect: "control",
+  statements: 0,
+  mixedTransaction: false,
+  discards: false,
+  copy: false,
+  tables: Object.freeze([]),
+});
+
+/** A text that the grammar refuses; the primary answers with its own error. */
+const UNPARSED: Classification = Object.freeze({
+  ...EMPTY,
+  effect: "write",
+  statements: 1,
+});
+
+/** A text too large or too deep to look into: it may hold anything. */
+const OPAQUE: Classification = Object.freeze({
+  ...UNPARSED,
+  mixedTransaction: true,
+  sessionState: "pinned",
+});
+
+interface RawStatement {
+  readonly stmt?: unknown;
+  readonly stmt_location?: number;
+  readonly stmt_len?: number;
+}
+
+/** Classifier with a bounded cache by text, leading comments left out. */
+export class GrammarClassifier implements Classifier, Service {
+  readonly #cache = new LRUCache<string, Classification>({
+    max: CACHE_MAX_TEXTS,
+    maxSize: CACHE_MAX_BYTES,
+    sizeCalculation: (_value, text) => 2 * text.length + ENTRY_BYTES,
+  });
+
+  /** Loads the grammar; `classify` may be called afterwards. */
+  async start(): Promise<void> {
+    await loadModule();
+  }
+
+  /** Classifies the text of a Query or Parse. */
+  classify(text: string): Classification {
+    const cached = this.#cache.get(text);
+    if (cached) return cached;
+    const { end, ...comment } = readLeadingComment(text);
+    const body = end === 0 ? text : text.slice(end);
+    const classification = this.#classifyBody(body);
+    const { requestId, position, kind } = comment;
+    if (!requestId && !position && !kind) return classification;
+    return { ...classification, ...comment };
+  }
+
+  #classifyBody(body: string): Classification {
+    const cached = this.#cache.get(body);
+    if (cached) return cached;
+    const classification = classifyText(body);
+    if (body.length <= CACHED_TEXT_MAX_CHARS) {
+      this.#cache.set(body, classification);
+    }
+    return classification;
+  }
+}
+
+function classifyText(text: string): Classification {
+  if (text.length === 0) return EMPTY;
+  if (text.length > PARSED_TEXT_MAX_CHARS) return OPAQUE;
+  try {
+    const statements = parseSync(text).stmts as readonly RawStatement[];
+    const bytes = statements.length > 1 ? Buffer.from(text) : undefined;
+    return combine(statements.map((raw) =>
+      summarizeStatement(
+        raw.stmt as Tree,
+        bytes ? sliceStatement(bytes, raw) : text.trim(),
+      )
+    ));
+  } catch (error) {
+    // RangeError: the tree is deeper than the stack of this process.
+    return error instanceof RangeError ? OPAQUE : UNPARSED;
+  }
+}
+
+/** The grammar counts locations in bytes of UTF-8. */
+function sliceStatement(bytes: Buffer, raw: RawStatement): string {
+  const from = raw.stmt_location ?? 0;
+  const to = raw.stmt_len ? from + raw.stmt_len : bytes.length;
+  return bytes.toString("utf8", from, to).trim();
+}
+
+function combine(parts: readonly StatementSummary[]): Classification {
+  if (parts.length === 0) return EMPTY;
+  const only = parts.length === 1 ? parts[0]! : undefined;
+  const sessionState = combineSessionState(parts);
+  return Object.freeze({
+    effect: sessionState === "pinned"
+      ? "write"
+      : strongestEffect(parts.map((part) => part.effect)),
+    statements: parts.length,
+    transaction: only?.transaction,
+    mixedTransaction: !only && parts.some((part) => part.transactionControl),
+    sessionState,
+    replayed: only?.replayed,
+    proxySetting: only?.proxySetting,
+    proxyShow: only?.proxyShow,
+    discards: parts.some((part) => part.discards === true),
+    deallocates: only?.deallocates,
+    copy: parts.some((part) => part.copy === true),
+    tables: [...new Set(parts.flatMap((part) => part.tables ?? []))],
+  });
+}
+
+function strongestEffect(effects: readonly Effect[]): Effect {
+  if (effects.includes("write")) return "write";
+  return effects.includes("read") ? "read" : "control";
+}
+
+/** A setting among other statements can't be replayed by itself, so the connection is pinned. */
+function combineSessionState(
+  parts: readonly StatementSummary[],
+): Classification["sessionState"] {
+  if (parts.length === 1) return parts[0]!.sessionState;
+  const stateful = parts.some((part) =>
+    part.sessionState !== undefined || part.proxySetting !== undefined ||
+    part.deallocates !== undefined
+  );
+  return stateful ? "pinned" : undefined;
+}
--- /dev/null
+++ b/src/plugins/classification/statement_scan.ts
@@ -0,0 +1,158 @@
+/**
+ * Walks the parse tree of one statement: whether it is proved to read only,
+ * which tables it reads, and whether it may leave state on the session.
+ *
+ * The proof is by lists of what is allowed: a node, a clause or a function that
+ * stands in no list makes the statement a write. What a text can't show, such
+ * as a view that calls a volatile function, is left to the instance: a replica
+ * refuses it with 25006.
+ *
+ * @module
+ */
+import { leavesSessionState, STABLE_FUNCTIONS } from "./built_in_functions.ts";
+
+/** A node of the parse tree as JSON; names of node types begin with a capital. */
+export type Tree = { readonly [key: string]: unknown };
+
+/** What the walk found. */
+export interface StatementScan {
+  /** Whether every node, clause and function is known to read only. */
+  readonly readOnly: boolean;
+  /** Whether the statement may leave state on the session. */
+  readonly pinned: boolean;
+  /** Tables named, lower case, without schema; names of common table expressions left out. */
+  readonly tables: readonly string[];
+}
+
+const READ_NODES: ReadonlySet<string> = new Set(
+  `SelectStmt ResTarget ColumnRef A_Star A_Const A_Expr A_Indirection A_Indices
+  A_ArrayExpr BoolExpr BooleanTest NullTest CaseExpr CaseWhen CoalesceExpr
+  CollateClause CommonTableExpr FuncCall GroupingFunc GroupingSet JoinExpr
+  JsonAggConstructor JsonArgument JsonArrayAgg JsonArrayConstructor
+  JsonArrayQueryConstructor JsonBehavior JsonFormat JsonFuncExpr
+  JsonIsPredicate JsonKeyValue JsonObjectAgg JsonObjectConstructor JsonOutput
+  JsonParseExpr JsonReturning JsonScalarExpr JsonSerializeExpr JsonValueExpr
+  List MinMaxExpr NamedArgExpr ParamRef RangeFunction RangeSubselect RangeVar
+  RowExpr SQLValueFunction SortBy String Integer Float Boolean BitString SubLink
+  TypeCast TypeName WindowDef ColumnDef Alias`.trim().split(/\s+/),
+);
+
+const WRITE_CLAUSES: ReadonlySet<string> = new Set([
+  "intoClause",
+  "lockingClause",
+]);
+
+/** Relations whose content belongs to one instance or one session. */
+const INSTANCE_RELATION =
+  /^pg_(stat|locks$|cursors$|prepared_|settings$|file_settings$|replication_|backend_|shmem|wait_events$)/;
+
+const CURSOR_HOLD = 0x20;
+const PINNING_NODES: ReadonlySet<string> = new Set([
+  "DoStmt",
+  "ListenStmt",
+  "LoadStmt",
+  "PrepareStmt",
+]);
+
+/** Walks one statement. */
+export function scanStatement(statement: Tree): StatementScan {
+  const walk = new Walk();
+  walk.visit(statement, new Set());
+  return {
+    readOnly: walk.readOnly,
+    pinned: walk.pinned,
+    tables: [...walk.tables],
+  };
+}
+
+class Walk {
+  readOnly = true;
+  pinned = false;
+  readonly tables = new Set<string>();
+
+  /** Visits a subtree; `names` are the common table expressions in scope. */
+  visit(value: unknown, names: ReadonlySet<string>): void {
+    if (typeof value !== "object" || value === null) return;
+    if (Array.isArray(value)) {
+      for (const item of value) this.visit(item, names);
+      return;
+    }
+    const tree = value as Tree;
+    const scope = this.#visitCommonTables(tree, names);
+    if ("relname" in tree) this.#checkRelation(tree, scope);
+    for (const key in tree) {
+      if (key === "withClause") continue;
+      const child = tree[key];
+      if (WRITE_CLAUSES.has(key)) this.readOnly = false;
+      if (isNodeName(key)) this.#checkNode(key, child as Tree);
+      if (key === "relpersistence" && child === "t") this.pinned = true;
+      this.visit(child, scope);
+    }
+  }
+
+  #visitCommonTables(
+    tree: Tree,
+    names: ReadonlySet<string>,
+  ): ReadonlySet<string> {
+    const clause = tree.withClause as Tree | undefined;
+    if (!clause) return names;
+    const expressions = (clause.ctes ?? []) as readonly Tree[];
+    const all = expressions.map((item) =>
+      String((item.CommonTableExpr as Tree)?.ctename)
+    );
+    const scope = new Set(names);
+    if (clause.recursive) { for (const name of all) scope.add(name); }
+    expressions.forEach((item, index) => {
+      this.visit(item, new Set(scope));
+      scope.add(all[index]!);
+    });
+    return scope;
+  }
+
+  #checkNode(name: string, node: Tree): void {
+    if (!READ_NODES.has(name)) this.readOnly = false;
+    if (PINNING_NODES.has(name)) this.pinned = true;
+    if (name === "FuncCall") this.#checkFunction(node);
+    if (name === "DeclareCursorStmt") this.#checkCursor(node);
+  }
+
+  #checkCursor(node: Tree): void {
+    if ((Number(node.options ?? 0) & CURSOR_HOLD) !== 0) this.pinned = true;
+  }
+
+  #checkRelation(node: Tree, names: ReadonlySet<string>): void {
+    const schema = node.schemaname as string | undefined;
+    const name = String(node.relname);
+    if (schema?.startsWith("pg_temp")) {
+      this.pinned = true;
+      this.readOnly = false;
+    }
+    if (schema === undefined && names.has(name)) return;
+    if (INSTANCE_RELATION.test(name)) this.readOnly = false;
+    this.tables.add(name.toLowerCase());
+  }
+
+  #checkFunction(node: Tree): void {
+    const path = ((node.funcname ?? []) as readonly Tree[])
+      .map((part) => String((part.String as Tree | undefined)?.sval ?? ""));
+    const name = path.at(-1) ?? "";
+    if (leavesSessionState(name)) this.pinned = true;
+    if (name === "set_config" && !isLocalConfig(node)) this.pinned = true;
+    const builtIn = path.length === 1 ||
+      (path.length === 2 && path[0] === "pg_catalog");
+    if (!builtIn || !STABLE_FUNCTIONS.has(name)) this.readOnly = false;
+  }
+}
+
+function isNodeName(key: string): boolean {
+  const first = key.charCodeAt(0);
+  return first >= 65 && first <= 90;
+}
+
+/** Whether the third argument of `set_config` is the constant true. */
+function isLocalConfig(call: Tree): boolean {
+  const args = (call.args ?? []) as readonly Tree[];
+  if (args.length !== 3) return false;
+  const constant = args[2]!.A_Const as Tree | undefined;
+  return (constant?.boolval as Tree | undefined)?.boolval === true;
+}
--- /dev/null
+++ b/src/plugins/classification/statement_summary.ts
@@ -0,0 +1,223 @@
+/**
+ * What one parsed statement of a text means to the proxy.
+ *
+ * @module
+ */
+import type {
+  Effect,
+  ProxySetting,
+  ReplayedSetting,
+  SessionState,
+  TransactionStep,
+} from "./classification.ts";
+import { scanStatement, type Tree } from "./statement_scan.ts";
+
+/** The meaning of one statement. */
+export interface StatementSummary {
+  readonly effect: Effect;
+  readonly transactionControl?: boolean;
+  readonly transaction?: TransactionStep;
+  readonly sessionState?: SessionState;
+  readonly replayed?: ReplayedSetting;
+  readonly proxySetting?: ProxySetting;
+  readonly proxyShow?: string;
+  readonly discards?: boolean;
+  readonly deallocates?: string;
+  readonly copy?: boolean;
+  readonly tables?: readonly string[];
+}
+
+const PROXY_PREFIX = "marjoramshed.";
+const PROXY_SETTINGS: ReadonlySet<string> = new Set([
+  "request",
+  "position",
+  "kind",
+  "session",
+]);
+
+/** Parameters whose value says whether the instance leads; a caller means the primary. */
+const ROLE_PARAMETERS: ReadonlySet<string> = new Set([
+  "all",
+  "in_hot_standby",
+  "transaction_read_only",
+]);
+
+const IDENTITY_PARAMETERS: ReadonlySet<string> = new Set([
+  "role",
+  "session_authorization",
+]);
+
+const CONTROL: StatementSummary = { effect: "control" };
+const PINNED: StatementSummary = { effect: "write", sessionState: "pinned" };
+
+/** Summarizes a statement; `text` is its own part of the whole text. */
+export function summarizeStatement(
+  statement: Tree,
+  text: string,
+): StatementSummary {
+  const name = Object.keys(statement)[0] ?? "";
+  const node = (statement[name] ?? {}) as Tree;
+  switch (name) {
+    case "SelectStmt":
+      return summarizeData(statement);
+    case "ExplainStmt":
+      return summarizeExplain(statement, node);
+    case "TransactionStmt":
+      return summarizeTransaction(node);
+    case "VariableSetStmt":
+      return summarizeSet(node, text);
+    case "VariableShowStmt":
+      return summarizeShow(String(node.name));
+    case "DiscardStmt":
+      return summarizeDiscard(node);
+    case "DeallocateStmt":
+      return summarizeDeallocate(node);
+    case "ListenStmt":
+    case "UnlistenStmt":
+      return { ...PINNED, copy: true };
+    case "CopyStmt":
+    case "NotifyStmt":
+      return { ...summarizeOther(statement), copy: true };
+    default:
+      return summarizeOther(statement);
+  }
+}
+
+function summarizeData(statement: Tree): StatementSummary {
+  const scan = scanStatement(statement);
+  return {
+    effect: scan.readOnly ? "read" : "write",
+    sessionState: scan.pinned ? "pinned" : undefined,
+    tables: scan.tables,
+  };
+}
+
+function summarizeOther(statement: Tree): StatementSummary {
+  const { pinned, tables } = scanStatement(statement);
+  return {
+    effect: "write",
+    sessionState: pinned ? "pinned" : undefined,
+    tables,
+  };
+}
+
+function summarizeExplain(statement: Tree, node: Tree): StatementSummary {
+  const options = (node.options ?? []) as readonly Tree[];
+  const runs = options.some((option) =>
+    (option.DefElem as Tree | undefined)?.defname === "analyze"
+  );
+  const query = node.query as Tree | undefined;
+  if (runs || !query?.SelectStmt) return summarizeOther(statement);
+  return summarizeData(query);
+}
+
+function summarizeTransaction(node: Tree): StatementSummary {
+  const control = { effect: "control", transactionControl: true } as const;
+  switch (node.kind) {
+    case "TRANS_STMT_BEGIN":
+    case "TRANS_STMT_START":
+      return { ...control, transaction: beginStep(node) };
+    case "TRANS_STMT_COMMIT":
+      return { ...control, transaction: "commit" };
+    case "TRANS_STMT_ROLLBACK":
+      return { ...control, transaction: "rollback" };
+    case "TRANS_STMT_SAVEPOINT":
+    case "TRANS_STMT_RELEASE":
+    case "TRANS_STMT_ROLLBACK_TO":
+      return control;
+    default:
+      return { effect: "write", transactionControl: true };
+  }
+}
+
+/** A replica refuses serializable transactions, so these begin at the primary. */
+function beginStep(node: Tree): TransactionStep {
+  let readOnly = false;
+  let serializable = false;
+  for (const option of (node.options ?? []) as readonly Tree[]) {
+    const element = option.DefElem as Tree;
+    const constant = (element.arg as Tree | undefined)?.A_Const as
+      | Tree
+      | undefined;
+    if (element.defname === "transaction_read_only") {
+      readOnly = (constant?.ival as Tree | undefined)?.ival === 1;
+    }
+    if (element.defname === "transaction_isolation") {
+      serializable =
+        (constant?.sval as Tree | undefined)?.sval === "serializable";
+    }
+  }
+  return readOnly && !serializable ? "begin read only" : "begin";
+}
+
+function summarizeSet(node: Tree, text: string): StatementSummary {
+  const name = String(node.name ?? "").toLowerCase();
+  const kind = String(node.kind);
+  if (name.startsWith(PROXY_PREFIX)) {
+    const setting = proxySetting(name.slice(PROXY_PREFIX.length), node);
+    if (setting) return { ...CONTROL, proxySetting: setting };
+  }
+  if (IDENTITY_PARAMETERS.has(name)) return PINNED;
+  if (node.is_local || name.startsWith("transaction")) return CONTROL;
+  if (kind === "VAR_RESET_ALL") return replay("all");
+  if (kind === "VAR_RESET" || kind === "VAR_SET_DEFAULT") return replay(name);
+  if (kind === "VAR_SET_VALUE") return replay(name, text);
+  if (kind === "VAR_SET_MULTI") return summarizeCharacteristics(node, text);
+  return PINNED;
+}
+
+/** `SET SESSION CHARACTERISTICS` with one mode sets one parameter and can be replayed under its name. */
+function summarizeCharacteristics(node: Tree, text: string): StatementSummary {
+  const modes = (node.args ?? []) as readonly Tree[];
+  if (modes.length !== 1) return PINNED;
+  const mode = String((modes[0]!.DefElem as Tree | undefined)?.defname);
+  return replay(`default_${mode}`, text);
+}
+
+function replay(name: string, text?: string): StatementSummary {
+  return {
+    effect: "control",
+    sessionState: "setting",
+    replayed: { name, text },
+  };
+}
+
+function proxySetting(name: string, node: Tree): ProxySetting | undefined {
+  if (!PROXY_SETTINGS.has(name)) return undefined;
+  return {
+    name: name as ProxySetting["name"],
+    value: settingValue(node),
+    local: node.is_local === true,
+  };
+}
+
+/** The value of a SET as text; empty for a RESET. */
+function settingValue(node: Tree): string {
+  const args = (node.args ?? []) as readonly Tree[];
+  return args.map((arg) => {
+    const constant = arg.A_Const as Tree | undefined;
+    const text = constant?.sval as Tree | undefined;
+    const whole = constant?.ival as Tree | undefined;
+    const decimal = constant?.fval as Tree | undefined;
+    return String(text?.sval ?? whole?.ival ?? decimal?.fval ?? "");
+  }).join(",");
+}
+
+function summarizeShow(name: string): StatementSummary {
+  const parameter = name.toLowerCase();
+  if (parameter.startsWith(PROXY_PREFIX)) {
+    return { ...CONTROL, proxyShow: parameter.slice(PROXY_PREFIX.length) };
+  }
+  return { effect: ROLE_PARAMETERS.has(parameter) ? "write" : "read" };
+}
+
+function summarizeDiscard(node: Tree): StatementSummary {
+  if (node.target === "DISCARD_ALL") return { ...CONTROL, discards: true };
+  if (node.target === "DISCARD_TEMP") return PINNED;
+  return CONTROL;
+}
+
+function summarizeDeallocate(node: Tree): StatementSummary {
+  if (node.name === undefined) return { ...CONTROL, discards: true };
+  return { ...CONTROL, deallocates: String(node.name) };
+}
