--- a/src/kernel/settings.ts
+++ b/src/kernel/settings.ts
@@ -54,6 +54,8 @@
   upstreamUser: z.string().min(1).default("marjoramshed"),
   /** Password at the upstreams. */
   upstreamPassword: z.string().default("marjoramshed"),
+  /** Most callers that are connected at a time. */
+  callerLimit: z.coerce.number().int().min(1).max(1_000_000).default(20_000),
   /** Routing policy: session, primary, or sticky (primary for a fixed time after a write). */
   policy: z.enum(["session", "primary", "sticky"]).default("session"),
   /** Time that a planned stop may take, in ms. */
--- /dev/null
+++ b/src/plugins/callers/accounts.ts
@@ -0,0 +1,40 @@
+/**
+ * Checks callers' passwords against the accounts of the document in force.
+ *
+ * @module
+ */
+import { createHmac, randomBytes } from "node:crypto";
+import { LRUCache } from "lru-cache";
+import type { Configuration } from "../configuration/configuration.ts";
+import { verifyPassword } from "../document/password.ts";
+
+const MAX_VERIFIED = 10_000;
+
+/** Verifies passwords; a password that was right is remembered as a keyed hash, so that reconnecting callers cost no second derivation. */
+export class Accounts {
+  readonly #configuration: Configuration;
+  readonly #key: Buffer = randomBytes(32);
+  readonly #verified = new LRUCache<string, true>({ max: MAX_VERIFIED });
+
+  constructor(configuration: Configuration) {
+    this.#configuration = configuration;
+  }
+
+  /** Whether the user has an account with this password that may open the database. */
+  async verify(
+    user: string,
+    password: string,
+    database: string,
+  ): Promise<boolean> {
+    const document = this.#configuration.current()?.document;
+    const account = document?.accounts.find((item) => item.name === user);
+    if (!account || !account.databases.includes(database)) return false;
+    const known = createHmac("sha256", this.#key)
+      .update(`${user}\0${account.password}\0${password}`)
+      .digest("base64");
+    if (this.#verified.has(known)) return true;
+    if (!await verifyPassword(password, account.password)) return false;
+    this.#verified.set(known, true);
+    return true;
+  }
+}
--- a/src/plugins/callers/ledger_run.ts
+++ b/src/plugins/callers/ledger_run.ts
@@ -87,6 +87,7 @@
   if (lent.isErr()) return { kind: "failed", failure: lent.error };
   const { connection, instance } = lent.value;
   logWrite(run, instance);
+  run.track(connection);
   const exchange = new Exchange(connection);
   const attempt = await applySettings(exchange, state)
     ? await runEntered(run, id, exchange, instance)
--- a/src/plugins/callers/read_run.ts
+++ b/src/plugins/callers/read_run.ts
@@ -82,6 +82,7 @@
     deadline: run.deadline,
   });
   if (lent.isErr()) return afterRefusal(lent.error);
+  run.track(lent.value);
   const exchange = new Exchange(lent.value);
   if (!await applySettings(exchange, run.state)) {
     exchange.finish(false);
--- a/src/plugins/callers/run.ts
+++ b/src/plugins/callers/run.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Failure } from "../../kernel/result_codes.ts";
+import type { UpstreamConnection } from "../connections/connections.ts";
 import type { Group } from "../document/document.ts";
 import { formatPosition, type Position } from "../upstream/position.ts";
 import {
@@ -29,6 +30,8 @@
   readonly unit: Unit;
   readonly plan: Plan;
   readonly next: NextUnit;
+  /** Tells the session which connection runs the unit, for a cancel request. */
+  readonly track: (connection: UpstreamConnection) => void;
   /** Monotonic ms until which the unit may wait before it runs. */
   readonly deadline: number;
 }
--- a/src/plugins/callers/session.ts
+++ b/src/plugins/callers/session.ts
@@ -30,10 +30,14 @@
 import { createPlan, type Plan } from "./plan.ts";
 import { runRead } from "./read_run.ts";
 import { type HeldConnection, type Run, type RunEnd } from "./run.ts";
-import { badRequestId, type SessionState } from "./session_state.ts";
+import {
+  badRequestId,
+  isRequestId,
+  type SessionState,
+} from "./session_state.ts";
 import { noteLocalStatements } from "./statements.ts";
 import { runHeld } from "./transaction_run.ts";
-import { enterRequest } from "./transaction_request.ts";
+import { beginRequest } from "./transaction_request.ts";
 import {
   endPreparingUnit,
   MAX_UNIT_BYTES,
@@ -57,6 +61,7 @@
   readonly #units: UnitReader;
   readonly #state: SessionState;
   #held: HeldConnection | undefined;
+  #borrowed: UpstreamConnection | undefined;
   /** After an error, units are passed over until one ends with a Sync. */
   #skipping = false;
   #transactionLost = false;
@@ -100,7 +105,7 @@
 
   /** The upstream connection that runs the caller's statement, for a cancel request. */
   get borrowed(): UpstreamConnection | undefined {
-    return this.#held?.exchange.connection;
+    return this.#borrowed ?? this.#held?.exchange.connection;
   }
 
   async #serve(): Promise<void> {
@@ -151,6 +156,7 @@
       unit,
       plan,
       next: () => this.#nextUnit(),
+      track: (connection) => this.#borrowed = connection,
       deadline: performance.now() + group.queue.deadline,
     };
   }
@@ -164,25 +170,26 @@
     if (step === "begin") return await this.#begin(run);
     if (plan.effect === "read") return await runRead(run);
     const id = plan.effect === "write" ? this.#takeRequestId(plan) : undefined;
-    if (id !== undefined) return await this.#runRequest(run, id);
+    if (id !== undefined) return await this.#runRequest(run, id, runRequest);
     return await runWrite(run);
   }
 
   async #begin(run: Run): Promise<RunEnd> {
     const id = this.#takeRequestId(run.plan);
-    const end = await runWrite(run);
-    if (id === undefined || end.kind !== "held") return end;
-    return await enterRequest(run, end.held, id);
+    if (id === undefined) return await runWrite(run);
+    return await this.#runRequest(run, id, beginRequest);
   }
 
-  async #runRequest(run: Run, id: string): Promise<RunEnd> {
-    if (!/^[\x21-\x7e]{1,200}$/.test(id)) {
-      return { kind: "failed", failure: badRequestId(id) };
-    }
+  async #runRequest(
+    run: Run,
+    id: string,
+    runs: (run: Run, id: string) => Promise<RunEnd>,
+  ): Promise<RunEnd> {
+    if (!isRequestId(id)) return { kind: "failed", failure: badRequestId(id) };
     if (run.plan.mixedTransaction || run.unit.end === "flush") {
       return { kind: "failed", failure: requestForm() };
     }
-    return await runRequest(run, id);
+    return await runs(run, id);
   }
 
   #takeRequestId(plan: Plan): string | undefined {
@@ -192,6 +199,7 @@
   }
 
   async #conclude(run: Run, end: RunEnd): Promise<void> {
+    this.#borrowed = undefined;
     this.#held = end.kind === "held" ? end.held : undefined;
     if (end.kind === "transaction lost") this.#transactionLost = true;
     if (end.kind !== "failed" && end.kind !== "transaction lost") return;
--- a/src/plugins/callers/session_state.ts
+++ b/src/plugins/callers/session_state.ts
@@ -103,7 +103,7 @@
   }
 
   #setRequest(value: string): Result<void, Failure> {
-    if (value !== "" && !REQUEST_ID.test(value)) {
+    if (value !== "" && !isRequestId(value)) {
       return err(badRequestId(value));
     }
     this.requestId = value || undefined;
@@ -128,6 +128,11 @@
   }
 }
 
+/** Whether a text may be a request id. */
+export function isRequestId(text: string): boolean {
+  return REQUEST_ID.test(text);
+}
+
 /** The failure for a request id of a wrong form. */
 export function badRequestId(value: string): Failure {
   return createFailure(
--- /dev/null
+++ b/src/plugins/callers/startup_packet.ts
@@ -0,0 +1,91 @@
+/**
+ * Looks at the first packet of a caller's connection before the handshake: a
+ * cancel request, a request for GSS encryption, or a packet of impossible length.
+ *
+ * @module
+ */
+import type { Socket } from "node:net";
+
+/** Longest startup packet that is accepted, in bytes. */
+const MAX_STARTUP_BYTES = 10_000;
+const CANCEL_CODE = 80877102;
+const GSS_CODE = 80877104;
+const CODE_END = 8;
+const CANCEL_LENGTH = 16;
+
+/** What the first packet is. */
+export type FirstPacket =
+  | { readonly kind: "startup" }
+  | {
+    readonly kind: "cancel";
+    readonly processId: number;
+    readonly secretKey: number;
+  }
+  | { readonly kind: "malformed" }
+  | { readonly kind: "closed" };
+
+/** Reads as far as needed to tell the first packet, and puts a startup packet back. */
+export async function readFirstPacket(
+  socket: Socket,
+  timeout: number,
+): Promise<FirstPacket> {
+  for (;;) {
+    const head = await readAtLeast(socket, CODE_END, timeout);
+    if (!head) return { kind: "closed" };
+    const length = head.readUInt32BE(0);
+    const code = head.readUInt32BE(4);
+    if (length < CODE_END || length > MAX_STARTUP_BYTES) {
+      return { kind: "malformed" };
+    }
+    if (code === GSS_CODE) {
+      socket.write("N");
+      if (head.length > CODE_END) socket.unshift(head.subarray(CODE_END));
+      continue;
+    }
+    if (code !== CANCEL_CODE) {
+      socket.unshift(head);
+      return { kind: "startup" };
+    }
+    socket.unshift(head);
+    const whole = await readAtLeast(socket, CANCEL_LENGTH, timeout);
+    if (!whole) return { kind: "closed" };
+    return {
+      kind: "cancel",
+      processId: whole.readInt32BE(CODE_END),
+      secretKey: whole.readInt32BE(CODE_END + 4),
+    };
+  }
+}
+
+function readAtLeast(
+  socket: Socket,
+  wanted: number,
+  timeout: number,
+): Promise<Buffer | undefined> {
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    let length = 0;
+    const finish = (result: Buffer | undefined): void => {
+      clearTimeout(timer);
+      socket.off("readable", onReadable);
+      socket.off("end", onClose);
+      socket.off("close", onClose);
+      resolve(result);
+    };
+    const onClose = (): void => finish(undefined);
+    const onReadable = (): void => {
+      for (;;) {
+        const chunk = socket.read() as Buffer | null;
+        if (!chunk) return;
+        parts.push(chunk);
+        length += chunk.length;
+        if (length >= wanted) return finish(Buffer.concat(parts));
+      }
+    };
+    const timer = setTimeout(onClose, timeout);
+    socket.on("readable", onReadable);
+    socket.on("end", onClose);
+    socket.on("close", onClose);
+    onReadable();
+  });
+}
--- /dev/null
+++ b/src/plugins/callers/startup_parameters.ts
@@ -0,0 +1,47 @@
+/**
+ * Takes the startup parameters of a caller into its session.
+ *
+ * @module
+ */
+import pg from "pg";
+import type { Failure } from "../../kernel/result_codes.ts";
+import type { ProxySetting } from "../classification/classification.ts";
+import type { SessionState } from "./session_state.ts";
+
+const PREFIX = "marjoramshed.";
+const PROXY_SETTINGS: readonly string[] = [
+  "request",
+  "position",
+  "kind",
+  "session",
+];
+/** Parameters that are not settings of an upstream connection, or that have the value that callers may ask for already. */
+const NOT_REPLAYED: ReadonlySet<string> = new Set([
+  "user",
+  "database",
+  "replication",
+  "application_name",
+  "client_encoding",
+]);
+
+/** Fills the state; gives the failure of a wrong parameter. */
+export function createSessionState(
+  parameters: ReadonlyMap<string, string>,
+  state: SessionState,
+): Failure | undefined {
+  state.name = parameters.get("application_name") || undefined;
+  for (const [name, value] of parameters) {
+    if (NOT_REPLAYED.has(name)) continue;
+    if (!name.startsWith(PREFIX)) {
+      const setting = pg.escapeIdentifier(name.toLowerCase());
+      const text = `SET ${setting} = ${pg.escapeLiteral(value)}`;
+      state.settings.set(name.toLowerCase(), text);
+      continue;
+    }
+    const own = name.slice(PREFIX.length);
+    if (!PROXY_SETTINGS.includes(own)) continue;
+    const set = state.set({ name: own as ProxySetting["name"], value });
+    if (set.isErr()) return set.error;
+  }
+  return undefined;
+}
--- a/src/plugins/callers/transaction_request.ts
+++ b/src/plugins/callers/transaction_request.ts
@@ -1,53 +1,111 @@
 /**
- * Enters a request id into the ledger at the start of a caller's transaction.
+ * Begins a caller's transaction that carries a request id: the id is entered
+ * into the ledger before the BEGIN is answered, so that a repeated transaction
+ * is refused at its start.
  *
  * @module
  */
-import { createFailure, ResultCodes } from "../../kernel/result_codes.ts";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import { relayBatch } from "./batch.ts";
+import { StoredSink } from "./caller_output.ts";
+import { Exchange, type InternalAnswer } from "./exchange.ts";
 import { requestDone } from "./ledger_run.ts";
+import { lendPrimary } from "./primary_lender.ts";
 import {
-  type HeldConnection,
+  applySettings,
+  POSITION_QUERY,
   type Run,
   type RunEnd,
   runInternal,
 } from "./run.ts";
+import { acknowledge, logWrite, readPosition } from "./write_run.ts";
 
 /** Fingerprint of a transaction, whose statements are not known at its start. */
 const TRANSACTION_FINGERPRINT = "transaction";
+const MAX_BEGIN_ANSWER_BYTES = 64 * 1024;
 
-/**
- * Enters the id in the transaction that was just begun. The BEGIN was answered
- * already, so a repeated request fails the transaction with REQUEST_DONE.
- */
-export async function enterRequest(
+/** Begins the transaction and enters its request id. */
+export async function beginRequest(run: Run, id: string): Promise<RunEnd> {
+  const { context, group, state } = run;
+  const lent = await lendPrimary(
+    context,
+    group,
+    group.writes.priority,
+    run.deadline,
+  );
+  if (lent.isErr()) return { kind: "failed", failure: lent.error };
+  const { connection, instance } = lent.value;
+  run.track(connection);
+  logWrite(run, instance);
+  const exchange = new Exchange(connection);
+  const sink = new StoredSink(MAX_BEGIN_ANSWER_BYTES);
+  const begin = (): ReturnType<typeof relayBatch> =>
+    relayBatch(exchange, state, {
+      unit: run.unit,
+      next: run.next,
+      epilogue: [],
+    }, sink);
+  const ready = await applySettings(exchange, state) && !(await begin()).lost;
+  const entered = ready ? await enter(run, id, exchange) : undefined;
+  if (!entered || entered.lost || entered.error) {
+    const failure = await refuse(run, id, exchange, instance, entered);
+    exchange.finish(false);
+    return { kind: "failed", failure };
+  }
+  await run.output.write(sink.messages.map((message) => message.data));
+  const held = {
+    exchange,
+    instance,
+    target: "primary" as const,
+    pinned: false,
+    wrote: true,
+    inTransaction: true,
+  };
+  return { kind: "held", held };
+}
+
+/** Enters the id; creates the ledger's table first when it is not there. */
+async function enter(
   run: Run,
-  held: HeldConnection,
   id: string,
-): Promise<RunEnd> {
+  exchange: Exchange,
+): Promise<InternalAnswer> {
   const { ledger } = run.context;
-  const text = ledger.enterText(id, TRANSACTION_FINGERPRINT);
-  const entered = await runInternal(held.exchange, text);
-  if (!entered.lost && !entered.error) {
-    return { kind: "held", held: { ...held, wrote: true } };
+  const entered = await runInternal(
+    exchange,
+    ledger.enterText(id, TRANSACTION_FINGERPRINT),
+  );
+  if (!entered.error || !ledger.isAbsent(entered.error.sqlState)) {
+    return entered;
   }
-  if (entered.lost) {
-    held.exchange.finish(false);
-    const message = `the connection to ${held.instance} was lost`;
-    const failure = createFailure(ResultCodes.TRANSACTION_LOST, message);
-    return { kind: "transaction lost", failure };
-  }
-  await runInternal(held.exchange, "ROLLBACK");
-  const { sqlState, constraint, message } = entered.error!;
-  if (ledger.isAbsent(sqlState)) {
-    await runInternal(held.exchange, ledger.createText());
-    const begun = await runInternal(held.exchange, `BEGIN; ${text}`);
-    if (!begun.lost && !begun.error) {
-      return { kind: "held", held: { ...held, wrote: true } };
-    }
+  await runInternal(exchange, "ROLLBACK");
+  await runInternal(exchange, ledger.createText());
+  return await runInternal(
+    exchange,
+    ledger.beginText(id, TRANSACTION_FINGERPRINT),
+  );
+}
+
+async function refuse(
+  run: Run,
+  id: string,
+  exchange: Exchange,
+  instance: string,
+  entered: InternalAnswer | undefined,
+): Promise<Failure> {
+  const { ledger } = run.context;
+  const error = entered?.error;
+  if (!error || !ledger.isRepeat(error.sqlState, error.constraint)) {
+    const lost = "the connection was lost at the start of the transaction";
+    return createFailure(ResultCodes.TRANSACTION_LOST, error?.message ?? lost);
   }
-  held.exchange.finish(false);
-  const failure = ledger.isRepeat(sqlState, constraint)
-    ? requestDone(id)
-    : createFailure(ResultCodes.TRANSACTION_LOST, message);
-  return { kind: "transaction lost", failure };
+  // "Done" is said only once a majority holds the transaction that ran before.
+  await runInternal(exchange, "ROLLBACK");
+  exchange.send([POSITION_QUERY], 1);
+  const position = await readPosition(exchange);
+  return await acknowledge(run, position, instance) ?? requestDone(id);
 }
--- a/src/plugins/callers/write_run.ts
+++ b/src/plugins/callers/write_run.ts
@@ -53,6 +53,7 @@
   if (lent.isErr()) return { kind: "failed", failure: lent.error };
   const { connection, instance } = lent.value;
   logWrite(run, instance);
+  run.track(connection);
   const exchange = new Exchange(connection);
   const ready = await applySettings(exchange, state);
   if (!ready || exchange.lost) {
--- a/src/plugins/metrics/metrics.ts
+++ b/src/plugins/metrics/metrics.ts
@@ -16,9 +16,3 @@
   /** Sets the number of connected callers. */
   callers(count: number): void;
 }
-
-declare module "../../kernel/kernel.ts" {
-  interface Services {
-    metrics: Metrics;
-  }
-}
--- /dev/null
+++ b/src/plugins/metrics/prometheus_metrics.ts
@@ -0,0 +1,131 @@
+/**
+ * Metrics of a proxy, served in the Prometheus text format.
+ *
+ * @module
+ */
+import { createServer, type Server } from "node:http";
+import * as hdr from "hdr-histogram-js";
+import { Counter, Gauge, Registry } from "prom-client";
+import type { Service } from "../../kernel/kernel.ts";
+import type { Settings } from "../../kernel/settings.ts";
+import type { Metrics, Target } from "./metrics.ts";
+
+const MICROSECONDS_PER_MS = 1_000;
+const MICROSECONDS_PER_SECOND = 1_000_000;
+const MAX_LATENCY_US = 60_000_000;
+const QUANTILES: readonly number[] = [0.5, 0.9, 0.99, 0.999];
+
+type Effect = "read" | "write";
+
+/** Counts with prom-client and keeps latencies in hdr histograms. */
+export class PrometheusMetrics implements Metrics, Service {
+  /** Other plug-ins register their own metrics here. */
+  readonly registry = new Registry();
+  readonly #settings: Settings;
+  readonly #server: Server;
+  readonly #latencies = new Map<string, hdr.Histogram>();
+  readonly #statements: Counter;
+  readonly #refusals: Counter;
+  readonly #callers: Gauge;
+
+  constructor(settings: Settings) {
+    this.#settings = settings;
+    const registers = [this.registry];
+    this.#statements = new Counter({
+      name: "marjoramshed_statements_total",
+      help: "Statements answered, by target and effect",
+      labelNames: ["target", "effect"],
+      registers,
+    });
+    this.#refusals = new Counter({
+      name: "marjoramshed_refusals_total",
+      help: "Refusals by result code",
+      labelNames: ["code"],
+      registers,
+    });
+    this.#callers = new Gauge({
+      name: "marjoramshed_callers",
+      help: "Connected callers",
+      registers,
+    });
+    this.#registerLatencies();
+    this.#server = createServer((request, response) => {
+      if (request.url !== "/metrics") {
+        response.writeHead(404).end();
+        return;
+      }
+      void this.registry.metrics().then((text) => {
+        response.setHeader("content-type", this.registry.contentType);
+        response.end(text);
+      });
+    });
+  }
+
+  /** Port of the metrics page. */
+  get port(): number {
+    const address = this.#server.address();
+    return typeof address === "object" && address ? address.port : 0;
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      const { metricsPort, address } = this.#settings;
+      this.#server.listen({ port: metricsPort, host: address }, resolve);
+    });
+  }
+
+  stop(): Promise<void> {
+    this.#server.closeAllConnections();
+    this.#server.close();
+    return Promise.resolve();
+  }
+
+  statement(target: Target, effect: Effect, elapsed: number): void {
+    this.#statements.inc({ target, effect });
+    const value = Math.max(1, Math.round(elapsed * MICROSECONDS_PER_MS));
+    this.#latency(target, effect).recordValue(Math.min(value, MAX_LATENCY_US));
+  }
+
+  refusal(code: string): void {
+    this.#refusals.inc({ code });
+  }
+
+  callers(count: number): void {
+    this.#callers.set(count);
+  }
+
+  #latency(target: Target, effect: Effect): hdr.Histogram {
+    const key = `${target} ${effect}`;
+    const known = this.#latencies.get(key);
+    if (known) return known;
+    const histogram = hdr.build({
+      highestTrackableValue: MAX_LATENCY_US,
+      numberOfSignificantValueDigits: 2,
+    });
+    this.#latencies.set(key, histogram);
+    return histogram;
+  }
+
+  #registerLatencies(): void {
+    const latencies = this.#latencies;
+    new Gauge({
+      name: "marjoramshed_statement_seconds",
+      help: "Time at the upstream and for the acknowledgement, by quantile",
+      labelNames: ["target", "effect", "quantile"],
+      registers: [this.registry],
+      collect() {
+        for (const [key, histogram] of latencies) {
+          const [target, effect] = key.split(" ") as [Target, Effect];
+          for (const quantile of QUANTILES) {
+            const value = histogram.getValueAtPercentile(quantile * 100);
+            this.set(
+              { target, effect, quantile: String(quantile) },
+              value / MICROSECONDS_PER_SECOND,
+            );
+          }
+        }
+      },
+    });
+  }
+}
--- /dev/null
+++ b/src/plugins/routing/primary_policy.ts
@@ -0,0 +1,60 @@
+/**
+ * Baseline policies to compare with: all reads on the primary, and the primary
+ * for a fixed time after a session's write.
+ *
+ * @module
+ */
+import { okAsync, type ResultAsync } from "neverthrow";
+import type { Failure } from "../../kernel/result_codes.ts";
+import { cheapest, eligibleReplicas } from "./replica_choice.ts";
+import type { Choice, ReadRequest, RoutingPolicy } from "./routing.ts";
+import { type PolicyContext, unavailable } from "./session_policy.ts";
+
+/** How long the sticky policy keeps a session at the primary after a write, in ms. */
+const STICKY_TIME_MS = 1_000;
+
+/** All reads on the primary. */
+export class PrimaryPolicy implements RoutingPolicy {
+  readonly #context: PolicyContext;
+
+  constructor(context: PolicyContext) {
+    this.#context = context;
+  }
+
+  chooseRead(request: ReadRequest): ResultAsync<Choice, Failure> {
+    return this.#context.health.primary(request.database, request.deadline)
+      .mapErr((failure) => unavailable(request, failure.message))
+      .map((instance) => ({
+        instance: instance.name,
+        target: "primary" as const,
+        reason: "all reads",
+      }));
+  }
+}
+
+/** Reads on the primary for a fixed time after a write of the session, then on any replica. */
+export class StickyPolicy implements RoutingPolicy {
+  readonly #context: PolicyContext;
+  readonly #primary: PrimaryPolicy;
+
+  constructor(context: PolicyContext) {
+    this.#context = context;
+    this.#primary = new PrimaryPolicy(context);
+  }
+
+  chooseRead(request: ReadRequest): ResultAsync<Choice, Failure> {
+    const { health, connections, zone } = this.#context;
+    const { database } = request;
+    const since = performance.now() - request.lastWriteAt;
+    if (since < STICKY_TIME_MS) return this.#primary.chooseRead(request);
+    const view = health.view(database);
+    const eligible = view ? eligibleReplicas(view, health, request) : [];
+    const best = cheapest(eligible, connections, database, zone);
+    if (!best) return this.#primary.chooseRead(request);
+    return okAsync({
+      instance: best.instance.name,
+      target: "replica" as const,
+      reason: "no write of late",
+    });
+  }
+}
