--- /dev/null
+++ b/src/commands/proxy.ts
@@ -0,0 +1,89 @@
+/**
+ * The daemon: resolves the settings, starts the kernel and stops it gracefully.
+ *
+ * @module
+ */
+import { Command, Option } from "clipanion";
+import { createEventLog, type EventLog, Events } from "../kernel/events.ts";
+import { Kernel } from "../kernel/kernel.ts";
+import { resolveSettings, type Settings } from "../kernel/settings.ts";
+import "../plugins/mod.ts";
+
+const STOP_SIGNALS: readonly NodeJS.Signals[] = ["SIGTERM", "SIGINT"];
+
+/** `marjoramshed proxy`: serves callers until it is told to stop. */
+export class ProxyCommand extends Command {
+  static override paths = [["proxy"]];
+  static override usage = Command.Usage({
+    category: "Daemon",
+    description: "Serve callers on this entry host",
+    details: `
+      Settings come from flags and from environment variables; a flag goes first.
+      \`--peer-key\` is the variable \`MARJORAMSHED_PEER_KEY\`, and so on. The
+      operators' page lists them all.
+
+      Prints one line of JSON once it accepts callers. SIGTERM ends it
+      gracefully: running statements and transactions end, then it exits.
+    `,
+    examples: [[
+      "Serve in zone zagreb-a",
+      "$0 proxy --name zagreb-1 --zone zagreb-a --peer-key \"$KEY\" " +
+      "--table-service http://10.0.0.2:8000 --object-store http://10.0.0.2:9000 " +
+      "--host-list http://10.0.0.2:7000",
+    ]],
+  });
+
+  args = Option.Proxy();
+
+  async execute(): Promise<number> {
+    const settings = resolveSettings(this.args, process.env);
+    if (settings.isErr()) {
+      const { code, message } = settings.error;
+      this.context.stderr.write(`marjoramshed: ${message} (code ${code.number})\n`);
+      return code.exitCode;
+    }
+    const { name, zone, logLevel } = settings.value;
+    const log = createEventLog(logLevel, { proxy: name, zone });
+    const kernel = new Kernel(settings.value, log);
+    const stopped = stopOnSignal(kernel, settings.value, log);
+    await kernel.start(["failover", "callers", "membership", "metrics"]);
+    this.context.stdout.write(JSON.stringify(describe(kernel, settings.value)) + "\n");
+    log.write(Events.STARTED, describe(kernel, settings.value));
+    await stopped;
+    return 0;
+  }
+}
+
+function describe(kernel: Kernel, settings: Settings): Record<string, unknown> {
+  return {
+    ready: true,
+    name: settings.name,
+    zone: settings.zone,
+    host: settings.address,
+    port: kernel.use("callers").port,
+    peerPort: kernel.use("peers").port,
+    metricsPort: kernel.use("metrics").port,
+    pid: process.pid,
+  };
+}
+
+function stopOnSignal(
+  kernel: Kernel,
+  settings: Settings,
+  log: EventLog,
+): Promise<void> {
+  return new Promise((resolve) => {
+    let stopping = false;
+    const stop = async (): Promise<void> => {
+      if (stopping) return;
+      stopping = true;
+      log.write(Events.STOPPING);
+      await kernel.stop(performance.now() + settings.stopDeadline);
+      log.write(Events.STOPPED);
+      resolve();
+      // A connection that an outage holds open must not keep the process.
+      process.exit(0);
+    };
+    for (const signal of STOP_SIGNALS) process.on(signal, () => void stop());
+  });
+}
