Control of database groups over pg, and health by status rounds

Purpose: a proxy knows each group's primary, term, positions and ages. One round of status requests is outstanding for each group and serves all that wait; it ends with a majority, so that an instance that does not answer holds up nobody.

Health gains hold and release, and GroupView gains switching: primary() waits while new writes are held for a planned change.

containsPosition took a position of a term that the history skipped for contained: a log 1:0, 3:100 'contained' 2/100, which term 3 had discarded. It now asks that the history knows the position's term; the test failed first.

Tested against an in-memory group only; real instances follow.

--- /dev/null
+++ b/src/plugins/health/answers.ts
@@ -0,0 +1,74 @@
+/**
+ * What the statuses say about a position that someone waits for.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import {
+  containsPosition,
+  formatPosition,
+  type Position,
+} from "../upstream/position.ts";
+import { type ConfirmedPrimary, type Sighting, survivalOf } from "./quorum.ts";
+
+/** What is known of a group at one moment. */
+export interface Evidence {
+  readonly database: string;
+  readonly sightings: readonly Sighting[];
+  /** The last primary that a majority confirmed. */
+  readonly primary: ConfirmedPrimary | undefined;
+  /** The position that a majority has received under its term. */
+  readonly held: Position;
+}
+
+/** Whether a majority holds a position; undefined while that is open. */
+export function confirmationOf(
+  evidence: Evidence,
+  position: Position,
+): Result<void, Failure> | undefined {
+  const { database, sightings, primary, held } = evidence;
+  if (held.term === position.term && held.lsn >= position.lsn) {
+    return ok(undefined);
+  }
+  if (!primary || primary.term <= position.term) return undefined;
+  const survival = survivalOf(sightings, primary, position);
+  if (survival === "survived") return ok(undefined);
+  if (survival === "open") return undefined;
+  return err(createFailure(
+    ResultCodes.OUTCOME_UNKNOWN,
+    `${formatPosition(position)} of ${database} was replaced`,
+    { detail: `term ${primary.term} does not contain it` },
+  ));
+}
+
+/** The instances, asked in this order, that have applied a position; undefined while none has. */
+export function applicationOf(
+  evidence: Evidence,
+  instances: readonly string[],
+  position: Position,
+): Result<string, Failure> | undefined {
+  const { sightings, primary } = evidence;
+  for (const name of instances) {
+    const found = sightings.find((item) => item.instance.name === name);
+    if (found && hasApplied(found, position)) return ok(name);
+  }
+  if (!primary || primary.term <= position.term) return undefined;
+  const { status, term } = primary;
+  if (containsPosition(status, status.received, position)) return undefined;
+  return err(createFailure(
+    ResultCodes.POSITION_INVALID,
+    `${formatPosition(position)} is not in the history of term ${term}`,
+  ));
+}
+
+/** Whether the last status of an instance shows that it has applied a position. */
+export function hasApplied(sighting: Sighting, position: Position): boolean {
+  const { status } = sighting;
+  if (!status) return false;
+  return containsPosition(status, status.applied, position);
+}
--- /dev/null
+++ b/src/plugins/health/group_view.ts
@@ -0,0 +1,71 @@
+/**
+ * Makes the read-only view of a group from its watch.
+ *
+ * @module
+ */
+import type { GroupView, InstanceView } from "./health.ts";
+import type { GroupWatch } from "./group_watch.ts";
+import type { InstanceProbe } from "./instance_probe.ts";
+import { findPrimary, majorityPosition, majorityTerm } from "./quorum.ts";
+
+/** Failures in a row from which an instance gets no new work. */
+const UNUSABLE_FAILURES = 2;
+
+/** Describes a group at this moment. */
+export function describeGroup(
+  watch: GroupWatch,
+  isLeaving: (instance: string) => boolean,
+): GroupView {
+  const { probes } = watch;
+  const leader = findPrimary(probes);
+  const lag = describeLag(watch);
+  return {
+    group: watch.group,
+    instances: probes.map((probe) =>
+      describeInstance(watch, probe, leader?.instance.name, isLeaving)
+    ),
+    ...(leader ? { primary: leader.instance.name } : {}),
+    term: Math.max(majorityTerm(probes), leader?.status.seenTerm ?? 0),
+    confirmedAt: watch.confirmed?.confirmedAt ?? -Infinity,
+    ...lag,
+    switching: watch.hold.active,
+  };
+}
+
+function describeInstance(
+  watch: GroupWatch,
+  probe: InstanceProbe,
+  primary: string | undefined,
+  isLeaving: (instance: string) => boolean,
+): InstanceView {
+  const { instance, status, sentAt, failures } = probe;
+  const leaving = isLeaving(instance.name);
+  const slow = watch.slow.isSlow(instance.name);
+  const serves = status?.role === "replica" || instance.name === primary;
+  return {
+    instance,
+    ...(status ? { status } : {}),
+    statusAt: sentAt,
+    failures,
+    usable: serves && !leaving && !slow && failures < UNUSABLE_FAILURES,
+    leaving,
+    slow,
+  };
+}
+
+function describeLag(
+  watch: GroupWatch,
+): Pick<GroupView, "receiveLag" | "receiveLagMs"> {
+  const { confirmed, probes, staleness } = watch;
+  if (!confirmed) return { receiveLag: 0n, receiveLagMs: 0 };
+  const held = majorityPosition(probes);
+  const { received } = confirmed.status;
+  const receiveLag = received > held.lsn ? received - held.lsn : 0n;
+  if (receiveLag === 0n) return { receiveLag, receiveLagMs: 0 };
+  const missing = staleness.samples.firstCovering({
+    ...held,
+    lsn: held.lsn + 1n,
+  });
+  const since = missing?.at ?? confirmed.confirmedAt;
+  return { receiveLag, receiveLagMs: performance.now() - since };
+}
--- a/src/plugins/health/health.ts
+++ b/src/plugins/health/health.ts
@@ -39,13 +39,15 @@
   readonly receiveLag: bigint;
   /** For how long, in ms, a majority has not held the primary's then position; 0 when it is caught up. */
   readonly receiveLagMs: number;
+  /** Whether new writes are held for a planned change of primary. */
+  readonly switching: boolean;
 }
 
 /** Watches the groups by status rounds; one round at a time for each group, shared by all that wait. */
 export interface Health {
   /** The present view of a group; undefined for a database that no document names. */
   view(database: string): GroupView | undefined;
-  /** Calls back on each change of primary or term of any group; gives a function that ends it. */
+  /** Calls back on each change of primary, term, hold or usable instances of any group; gives a function that ends it. */
   subscribe(listener: (view: GroupView) => void): () => void;
   /** Resolves once a majority of the group holds the position under its term; fails at the deadline (monotonic ms) or when a higher term is seen. */
   confirm(
@@ -71,12 +73,16 @@
   age(database: string, instance: string): number;
   /** Expected time in ms until the instance has applied the position, from its lag of late. */
   expectedWait(database: string, instance: string, position: Position): number;
-  /** Resolves when the group has a confirmed primary; fails at the deadline with PRIMARY_ABSENT. */
+  /** Resolves when the group has a confirmed primary and new writes are not held; fails at the deadline with PRIMARY_ABSENT. */
   primary(database: string, deadline: number): ResultAsync<Instance, Failure>;
   /** Reports that a connection to an instance failed or was fenced; asks for a probe at once. */
   reportFailure(database: string, instance: string): void;
   /** Reports the time to first byte of a statement on an instance, in ms, for the exclusion of slow ones. */
   reportLatency(database: string, instance: string, latency: number): void;
+  /** Holds new writes of a group, for at most `duration` ms: `primary` resolves only afterwards. */
+  hold(database: string, duration: number): void;
+  /** Ends a hold. */
+  release(database: string): void;
 }
 
 declare module "../../kernel/kernel.ts" {
--- /dev/null
+++ b/src/plugins/health/quorum.ts
@@ -0,0 +1,127 @@
+/**
+ * What a set of statuses proves: the confirmed primary and the positions that a majority holds.
+ *
+ * @module
+ */
+import type { Instance } from "../document/document.ts";
+import type { InstanceStatus } from "../upstream/database_group.ts";
+import { containsPosition, type Position } from "../upstream/position.ts";
+
+/** The last status of an instance and when its request was sent. */
+export interface Sighting {
+  readonly instance: Instance;
+  /** The last status; undefined before the first. */
+  readonly status?: InstanceStatus | undefined;
+  /** Monotonic ms of the sending. */
+  readonly sentAt: number;
+  /** Number of the request; grows with each request of the group. */
+  readonly order: number;
+}
+
+/** A sighting with a status. */
+export type Seen = Sighting & { readonly status: InstanceStatus };
+
+/** A primary that a majority has not seen replaced. */
+export interface ConfirmedPrimary {
+  readonly instance: Instance;
+  readonly status: InstanceStatus;
+  readonly term: number;
+  /** Monotonic ms at which no higher term had a majority: the earliest sending of the statuses that confirm it. */
+  readonly confirmedAt: number;
+}
+
+/** The smallest number of instances that is a majority. */
+export function majorityOf(count: number): number {
+  return Math.floor(count / 2) + 1;
+}
+
+/** The sightings that have a status. */
+export function seenOf(sightings: readonly Sighting[]): readonly Seen[] {
+  return sightings.filter((item): item is Seen => item.status !== undefined);
+}
+
+/** The highest term that any instance has seen; 0 when nothing is known. */
+export function highestTerm(sightings: readonly Sighting[]): number {
+  const terms = seenOf(sightings).map((item) => item.status.seenTerm);
+  return Math.max(0, ...terms);
+}
+
+/** The highest term that a majority has seen; 0 when nothing is known. */
+export function majorityTerm(sightings: readonly Sighting[]): number {
+  const terms = sightings.map((item) => item.status?.seenTerm ?? 0);
+  terms.sort((a, b) => b - a);
+  return terms[majorityOf(sightings.length) - 1] ?? 0;
+}
+
+/** The instance that leads at the highest term and has not been replaced by a majority. */
+export function findPrimary(sightings: readonly Sighting[]): Seen | undefined {
+  const leaders = seenOf(sightings)
+    .filter((item) => item.status.role === "primary")
+    .sort((a, b) => b.status.seenTerm - a.status.seenTerm);
+  const leader = leaders[0];
+  if (!leader || leader.status.seenTerm < majorityTerm(sightings)) {
+    return undefined;
+  }
+  return leader;
+}
+
+/**
+ * The primary, confirmed by the requests after `after`: it leads at term N, and a majority,
+ * itself included, has seen no term above N. By the time `confirmedAt` nothing can have been
+ * acknowledged in a higher term, since a promotion fences a majority first.
+ */
+export function confirmPrimary(
+  sightings: readonly Sighting[],
+  after: number,
+): ConfirmedPrimary | undefined {
+  const leader = findPrimary(sightings);
+  if (!leader || leader.order <= after) return undefined;
+  const term = leader.status.seenTerm;
+  const others = seenOf(sightings).filter((item) =>
+    item !== leader && item.order > after && item.status.seenTerm <= term
+  ).sort((a, b) => b.sentAt - a.sentAt);
+  const needed = majorityOf(sightings.length) - 1;
+  if (others.length < needed) return undefined;
+  const earliest = others[needed - 1]?.sentAt ?? leader.sentAt;
+  return {
+    instance: leader.instance,
+    status: leader.status,
+    term,
+    confirmedAt: Math.min(leader.sentAt, earliest),
+  };
+}
+
+/**
+ * The position that a majority has received under the term of its last entry. Later statuses
+ * are not needed at once: what was received under a term stays, or a fence reply shows it.
+ */
+export function majorityPosition(sightings: readonly Sighting[]): Position {
+  const majority = majorityOf(sightings.length);
+  const seen = seenOf(sightings);
+  for (const { status: { lastTerm } } of seen) {
+    const received = seen.filter((item) => item.status.lastTerm === lastTerm)
+      .map((item) => item.status.received);
+    if (received.length < majority) continue;
+    received.sort((a, b) => a < b ? 1 : a > b ? -1 : 0);
+    return { term: lastTerm, lsn: received[majority - 1]! };
+  }
+  return { term: 0, lsn: 0n };
+}
+
+/** How a position of a lower term fared when the primary changed. */
+export type Survival = "survived" | "open" | "discarded";
+
+/** Whether the log of a confirmed primary of a higher term, and a majority with it, contains a position. */
+export function survivalOf(
+  sightings: readonly Sighting[],
+  primary: ConfirmedPrimary,
+  position: Position,
+): Survival {
+  const { status, term } = primary;
+  if (!containsPosition(status, status.received, position)) return "discarded";
+  const holders = seenOf(sightings).filter((item) =>
+    item.status.lastTerm === term &&
+    containsPosition(item.status, item.status.received, position)
+  );
+  return holders.length >= majorityOf(sightings.length) ? "survived" : "open";
+}
--- /dev/null
+++ b/src/plugins/health/slow_instances.ts
@@ -0,0 +1,102 @@
+/**
+ * Leaves instances out of reads that are much slower than their peers.
+ *
+ * @module
+ */
+
+/** Weight of a new latency in the smoothed one. */
+const LATENCY_WEIGHT = 0.1;
+/** Latencies that are needed before an instance is judged. */
+const SAMPLES_NEEDED = 20;
+/** An instance is slow when above the median of its peers by this factor and this many ms. */
+const SLOW_FACTOR = 4;
+const SLOW_MARGIN_MS = 100;
+/** Time after which a slow instance is tried again; doubled for each failed trial. */
+const TRIAL_AFTER_MS = 2_000;
+const TRIAL_AFTER_MAX_MS = 30_000;
+/** Time without exclusion after which the doubling starts anew. */
+const FORGET_AFTER_MS = 60_000;
+
+interface Latency {
+  smoothed: number;
+  samples: number;
+  excludedUntil: number;
+  exclusions: number;
+  lastExclusion: number;
+}
+
+/** Judges the instances of one group by the latencies of their statements. */
+export class SlowInstances {
+  readonly #latencies = new Map<string, Latency>();
+
+  /** Whether an instance is left out at present. */
+  isSlow(instance: string): boolean {
+    return (this.#latencies.get(instance)?.excludedUntil ?? 0) > 0;
+  }
+
+  /** Takes a latency in ms; `peers` are the other usable instances. Tells whether the instance is now left out. */
+  report(
+    instance: string,
+    latency: number,
+    peers: readonly string[],
+  ): boolean {
+    const now = performance.now();
+    const entry = this.#entry(instance);
+    if (entry.excludedUntil > 0) return false;
+    entry.samples += 1;
+    const weight = Math.max(LATENCY_WEIGHT, 1 / entry.samples);
+    entry.smoothed += weight * (latency - entry.smoothed);
+    if (entry.samples < SAMPLES_NEEDED || peers.length === 0) return false;
+    const median = this.#median(peers);
+    if (median === undefined) return false;
+    const limit = Math.max(SLOW_FACTOR * median, median + SLOW_MARGIN_MS);
+    if (entry.smoothed <= limit) return false;
+    this.#exclude(entry, now);
+    return true;
+  }
+
+  /** Instances whose exclusion ends now, for a trial. */
+  endTrials(): readonly string[] {
+    const now = performance.now();
+    const ended: string[] = [];
+    for (const [instance, entry] of this.#latencies) {
+      if (entry.excludedUntil === 0 || entry.excludedUntil > now) continue;
+      entry.excludedUntil = 0;
+      entry.samples = 0;
+      entry.smoothed = 0;
+      ended.push(instance);
+    }
+    return ended;
+  }
+
+  #exclude(entry: Latency, now: number): void {
+    if (now - entry.lastExclusion > FORGET_AFTER_MS) entry.exclusions = 0;
+    const pause = TRIAL_AFTER_MS * 2 ** entry.exclusions;
+    entry.exclusions += 1;
+    entry.lastExclusion = now;
+    entry.excludedUntil = now + Math.min(pause, TRIAL_AFTER_MAX_MS);
+  }
+
+  #median(instances: readonly string[]): number | undefined {
+    const values = instances.map((name) => this.#latencies.get(name))
+      .filter((entry) => entry !== undefined)
+      .filter((entry) => entry.samples >= SAMPLES_NEEDED)
+      .map((entry) => entry.smoothed)
+      .sort((a, b) => a - b);
+    return values[(values.length - 1) >>> 1];
+  }
+
+  #entry(instance: string): Latency {
+    const found = this.#latencies.get(instance);
+    if (found) return found;
+    const entry = {
+      smoothed: 0,
+      samples: 0,
+      excludedUntil: 0,
+      exclusions: 0,
+      lastExclusion: -Infinity,
+    };
+    this.#latencies.set(instance, entry);
+    return entry;
+  }
+}
--- /dev/null
+++ b/src/plugins/health/write_hold.ts
@@ -0,0 +1,37 @@
+/**
+ * A pause of new writes for a planned change of primary; it ends by itself, so that
+ * the loss of whoever asked for it blocks nothing.
+ *
+ * @module
+ */
+
+/** The hold of one group. */
+export class WriteHold {
+  readonly #changed: () => void;
+  #until = -Infinity;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(changed: () => void) {
+    this.#changed = changed;
+  }
+
+  /** Whether new writes are held. */
+  get active(): boolean {
+    return performance.now() < this.#until;
+  }
+
+  /** Holds new writes for at most `duration` ms from now. */
+  begin(duration: number): void {
+    this.#until = performance.now() + duration;
+    clearTimeout(this.#timer);
+    this.#timer = setTimeout(() => this.end(), duration);
+    this.#changed();
+  }
+
+  /** Ends the hold. */
+  end(): void {
+    clearTimeout(this.#timer);
+    this.#until = -Infinity;
+    this.#changed();
+  }
+}
--- /dev/null
+++ b/src/plugins/upstream/control_connection.ts
@@ -0,0 +1,159 @@
+/**
+ * One connection for the control statements of an instance; reopened by the next
+ * request after a loss, a timeout or a long idle time.
+ *
+ * @module
+ */
+import type { ConnectionOptions } from "node:tls";
+import { err, ok, type Result } from "neverthrow";
+import { Client } from "pg";
+import {
+  createFailure,
+  type Failure,
+  type ResultCode,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import { BoundSocket } from "./bound_socket.ts";
+import { startTimer } from "./lenient_timer.ts";
+
+/** Where and as whom a control connection is opened. */
+export interface ControlConnectionOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly database: string;
+  readonly user: string;
+  readonly password: string;
+  readonly applicationName: string;
+  /** Local IP number to connect from. */
+  readonly localAddress: string;
+  /** Idle time in ms after which the connection is closed; default never. */
+  readonly idleTimeout?: number;
+  /** Turns TLS on. */
+  readonly ssl?: ConnectionOptions;
+}
+
+/** A row of an answer, by column. */
+export type ControlRow = Readonly<Record<string, unknown>>;
+
+/** SQLSTATE of an order that the instance's term forbids. */
+const OBJECT_NOT_IN_PREREQUISITE_STATE = "55000";
+
+interface OpenClient {
+  readonly client: Client;
+  readonly socket: BoundSocket;
+  readonly ready: Promise<unknown>;
+}
+
+/** Sends one statement at a time. A timeout destroys the connection, so that no answer meets a later request. */
+export class ControlConnection {
+  readonly #options: ControlConnectionOptions;
+  #open: OpenClient | undefined;
+  #tail: Promise<unknown> = Promise.resolve();
+  #idleTimer: NodeJS.Timeout | undefined;
+
+  constructor(options: ControlConnectionOptions) {
+    this.#options = options;
+  }
+
+  /** Whether a connection is open or being opened. */
+  get isOpen(): boolean {
+    return this.#open !== undefined;
+  }
+
+  /** Runs a statement that answers one row; the timeout counts from when it is sent. */
+  query(text: string, timeout: number): Promise<Result<ControlRow, Failure>> {
+    const answer = this.#tail.then(() => this.#run(text, timeout));
+    this.#tail = answer;
+    return answer;
+  }
+
+  /** Closes the connection; a running statement fails. */
+  close(): void {
+    clearTimeout(this.#idleTimer);
+    const open = this.#open;
+    this.#open = undefined;
+    open?.socket.destroy();
+  }
+
+  async #run(
+    text: string,
+    timeout: number,
+  ): Promise<Result<ControlRow, Failure>> {
+    clearTimeout(this.#idleTimer);
+    const open = this.#open ?? this.#connect();
+    let timedOut = false;
+    const cancel = startTimer(timeout, () => {
+      timedOut = true;
+      this.#drop(open);
+    });
+    try {
+      await open.ready;
+      const { rows } = await open.client.query(text);
+      const row: unknown = rows[0];
+      if (row === undefined) return err(this.#failure("answered no row"));
+      return ok(row as ControlRow);
+    } catch (error) {
+      return err(this.#explain(open, error, timedOut ? timeout : undefined));
+    } finally {
+      cancel();
+      this.#watchIdle();
+    }
+  }
+
+  #connect(): OpenClient {
+    const options = this.#options;
+    const socket = new BoundSocket(options.localAddress);
+    const client = new Client({
+      host: options.host,
+      port: options.port,
+      database: options.database,
+      user: options.user,
+      password: options.password,
+      application_name: options.applicationName,
+      ssl: options.ssl ?? false,
+      stream: () => socket,
+    });
+    const ready = client.connect();
+    const open: OpenClient = { client, socket, ready };
+    client.on("error", () => this.#drop(open));
+    client.on("end", () => this.#drop(open));
+    this.#open = open;
+    return open;
+  }
+
+  #drop(open: OpenClient): void {
+    if (this.#open === open) this.#open = undefined;
+    open.socket.destroy();
+  }
+
+  #explain(
+    open: OpenClient,
+    error: unknown,
+    timeout: number | undefined,
+  ): Failure {
+    const { code } = error as { code?: unknown };
+    const message = error instanceof Error ? error.message : String(error);
+    if (code === OBJECT_NOT_IN_PREREQUISITE_STATE) {
+      return this.#failure(message, ResultCodes.FENCE_REFUSED);
+    }
+    this.#drop(open);
+    if (timeout === undefined) return this.#failure(message);
+    return this.#failure(`no answer within ${timeout} ms`);
+  }
+
+  #failure(
+    message: string,
+    code: ResultCode = ResultCodes.UPSTREAM_UNREACHABLE,
+  ): Failure {
+    const { host, port } = this.#options;
+    return createFailure(code, `instance ${host}:${port}: ${message}`);
+  }
+
+  #watchIdle(): void {
+    const { idleTimeout } = this.#options;
+    if (idleTimeout === undefined) return;
+    clearTimeout(this.#idleTimer);
+    this.#idleTimer = setTimeout(() => this.close(), idleTimeout);
+    this.#idleTimer.unref();
+  }
+}
--- a/src/plugins/upstream/position.ts
+++ b/src/plugins/upstream/position.ts
@@ -42,6 +42,7 @@
 /**
  * Whether a log with this history, present up to `lsn`, contains a position:
  * in the same term at least that far, or in a later term that started at or after it.
+ * A history without the position's term belongs to a log that never held it.
  */
 export function containsPosition(
   history: History,
@@ -50,6 +51,9 @@
 ): boolean {
   if (wanted.lsn === 0n) return true;
   if (lsn < wanted.lsn || history.lastTerm < wanted.term) return false;
+  if (!history.termStarts.some((start) => start.term === wanted.term)) {
+    return false;
+  }
   const next = history.termStarts.find((start) => start.term > wanted.term);
   return next === undefined || next.lsn >= wanted.lsn;
 }
--- /dev/null
+++ b/test/health_test.ts
@@ -0,0 +1,289 @@
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "earl";
+import { ResultCodes } from "../src/kernel/result_codes.ts";
+import { HealthMonitor } from "../src/plugins/health/health_monitor.ts";
+import {
+  createInstance,
+  createStatus,
+  FakeDatabaseGroup,
+} from "./fixtures/fake_database_group.ts";
+import {
+  createGroup,
+  createTestLog,
+  FakeConfiguration,
+  FakeHostList,
+} from "./fixtures/fake_platform.ts";
+
+const DATABASE = "booking";
+const SOON_MS = 300;
+const LONG_MS = 20_000;
+const instances = ["a", "b", "c"].map((name) => createInstance(name));
+
+describe("health", () => {
+  let control: FakeDatabaseGroup;
+  let configuration: FakeConfiguration;
+  let hostList: FakeHostList;
+  let health: HealthMonitor;
+
+  beforeEach(async () => {
+    control = new FakeDatabaseGroup();
+    control.statuses.set("a", createStatus({ role: "primary" }));
+    control.statuses.set("b", createStatus({ source: "a" }));
+    control.statuses.set("c", createStatus({ source: "a" }));
+    configuration = new FakeConfiguration([createGroup(instances)]);
+    hostList = new FakeHostList();
+    health = new HealthMonitor({
+      configuration,
+      hostList,
+      control,
+      log: createTestLog(),
+    });
+    await health.start();
+  });
+
+  afterEach(() => health.stop());
+
+  const soon = () => performance.now() + SOON_MS;
+  const later = () => performance.now() + LONG_MS;
+
+  describe("confirmation of a write", () => {
+    it("holds once a majority received the position", async () => {
+      const waiting = health.confirm(DATABASE, { term: 1, lsn: 120n }, later());
+      control.statuses.set(
+        "a",
+        createStatus({ role: "primary", received: 130n }),
+      );
+      control.statuses.set("c", createStatus({ received: 120n }));
+      expect((await waiting).isOk()).toEqual(true);
+    });
+
+    it("fails at the deadline when the primary alone holds it", async () => {
+      control.statuses.set(
+        "a",
+        createStatus({ role: "primary", received: 130n }),
+      );
+      const result = await health.confirm(
+        DATABASE,
+        { term: 1, lsn: 120n },
+        soon(),
+      );
+      expect(result._unsafeUnwrapErr().code).toEqual(
+        ResultCodes.ACKNOWLEDGE_DEADLINE,
+      );
+    });
+
+    it("does not count a log of a higher term", async () => {
+      const history = { lastTerm: 2, termStarts: [{ term: 2, lsn: 0n }] };
+      control.statuses.set("a", createStatus({ received: 130n }));
+      control.statuses.set("b", createStatus({ ...history, received: 900n }));
+      control.statuses.set("c", createStatus({ ...history, received: 900n }));
+      const result = await health.confirm(
+        DATABASE,
+        { term: 1, lsn: 120n },
+        soon(),
+      );
+      expect(result.isErr()).toEqual(true);
+    });
+
+    it("is not held up by an instance that does not answer", async () => {
+      control.silent.add("b");
+      const begun = performance.now();
+      await health.confirm(DATABASE, { term: 1, lsn: 100n }, later());
+      expect(performance.now() - begun).toBeLessThan(140);
+    });
+
+    it("ends at once when a new primary lacks the position", async () => {
+      const waiting = health.confirm(DATABASE, { term: 1, lsn: 120n }, later());
+      leadBy("b", 100n);
+      expect((await waiting)._unsafeUnwrapErr().code).toEqual(
+        ResultCodes.OUTCOME_UNKNOWN,
+      );
+    });
+
+    it("holds when a majority of a new term contains the position", async () => {
+      const waiting = health.confirm(DATABASE, { term: 1, lsn: 120n }, later());
+      leadBy("b", 125n);
+      expect((await waiting).isOk()).toEqual(true);
+    });
+  });
+
+  /** Makes an instance the primary of term 2, which starts at a log position. */
+  function leadBy(name: string, lsn: bigint): void {
+    const history = {
+      seenTerm: 2,
+      lastTerm: 2,
+      termStarts: [{ term: 1, lsn: 0n }, { term: 2, lsn }],
+      received: lsn + 10n,
+    };
+    control.statuses.delete("a");
+    control.statuses.set("b", createStatus(history));
+    control.statuses.set("c", createStatus(history));
+    control.statuses.set(name, createStatus({ ...history, role: "primary" }));
+  }
+
+  describe("fresh position", () => {
+    it("is the primary's position of a later round", async () => {
+      await health.primary(DATABASE, later());
+      control.statuses.set(
+        "a",
+        createStatus({ role: "primary", received: 170n }),
+      );
+      const result = await health.freshPosition(DATABASE, later());
+      expect(result._unsafeUnwrap()).toEqual({ term: 1, lsn: 170n });
+    });
+
+    it("is refused when a majority has seen a higher term", async () => {
+      await health.primary(DATABASE, later());
+      const fenced = createStatus({ role: "fenced", seenTerm: 2 });
+      control.statuses.set("b", fenced);
+      control.statuses.set("c", fenced);
+      const result = await health.freshPosition(DATABASE, soon());
+      expect(result._unsafeUnwrapErr().code).toEqual(
+        ResultCodes.PRIMARY_ABSENT,
+      );
+    });
+
+    it("is refused when only the primary answers", async () => {
+      await health.primary(DATABASE, later());
+      control.statuses.delete("b");
+      control.silent.add("c");
+      const result = await health.freshPosition(DATABASE, soon());
+      expect(result.isErr()).toEqual(true);
+    });
+
+    it("serves many that wait by few rounds", async () => {
+      await health.primary(DATABASE, later());
+      const before = control.requests.get("a")!;
+      const waiting = Array.from(
+        { length: 100 },
+        () => health.freshPosition(DATABASE, later()),
+      );
+      for (const result of await Promise.all(waiting)) {
+        expect(result.isOk()).toEqual(true);
+      }
+      expect(control.requests.get("a")! - before).toBeLessThan(10);
+    });
+  });
+
+  describe("reads", () => {
+    it("resolve with the replica that applies the position", async () => {
+      const position = { term: 1, lsn: 150n };
+      const waiting = health.applied(DATABASE, ["b", "c"], position, later());
+      expect(health.hasApplied(DATABASE, "c", position)).toEqual(false);
+      control.statuses.set(
+        "c",
+        createStatus({ received: 150n, applied: 150n }),
+      );
+      expect((await waiting)._unsafeUnwrap()).toEqual("c");
+      expect(health.hasApplied(DATABASE, "c", position)).toEqual(true);
+    });
+
+    it("end at once when the position was discarded", async () => {
+      const position = { term: 1, lsn: 150n };
+      const waiting = health.applied(DATABASE, ["c"], position, later());
+      leadBy("b", 100n);
+      expect((await waiting)._unsafeUnwrapErr().code).toEqual(
+        ResultCodes.POSITION_INVALID,
+      );
+    });
+  });
+
+  describe("age", () => {
+    it("grows for a replica that does not apply", async () => {
+      await health.primary(DATABASE, later());
+      await sleep(SOON_MS);
+      control.statuses.set(
+        "a",
+        createStatus({ role: "primary", received: 140n }),
+      );
+      control.statuses.set(
+        "b",
+        createStatus({ received: 140n, applied: 140n }),
+      );
+      const begun = performance.now();
+      await health.freshPosition(DATABASE, later());
+      await sleep(2 * SOON_MS);
+      const elapsed = performance.now() - begun;
+      expect(health.age(DATABASE, "c")).toBeGreaterThanOrEqual(elapsed - 150);
+      expect(health.age(DATABASE, "c")).toBeGreaterThan(
+        health.age(DATABASE, "b"),
+      );
+      expect(health.age(DATABASE, "a")).toBeGreaterThan(0);
+    });
+
+    it("is unbounded while nothing is known", () => {
+      expect(health.age(DATABASE, "a")).toEqual(Infinity);
+    });
+
+    it("grows for a primary that is not confirmed", async () => {
+      await health.primary(DATABASE, later());
+      control.silent.add("b").add("c");
+      await sleep(3 * SOON_MS);
+      expect(health.age(DATABASE, "a")).toBeGreaterThan(2 * SOON_MS);
+    });
+  });
+
+  describe("primary", () => {
+    it("is waited for while writes are held", async () => {
+      await health.primary(DATABASE, later());
+      health.hold(DATABASE, LONG_MS);
+      expect(health.view(DATABASE)?.switching).toEqual(true);
+      const held = await health.primary(DATABASE, soon());
+      expect(held.isErr()).toEqual(true);
+      health.release(DATABASE);
+      const free = await health.primary(DATABASE, later());
+      expect(free._unsafeUnwrap().name).toEqual("a");
+    });
+
+    it("is confirmed anew after a reported failure", async () => {
+      await health.primary(DATABASE, later());
+      control.statuses.delete("a");
+      health.reportFailure(DATABASE, "a");
+      const result = await health.primary(DATABASE, soon());
+      expect(result._unsafeUnwrapErr().code).toEqual(
+        ResultCodes.PRIMARY_ABSENT,
+      );
+    });
+  });
+
+  describe("usable instances", () => {
+    it("exclude one that is leaving", async () => {
+      for (const name of ["a", "b", "c"]) {
+        await health.applied(DATABASE, [name], { term: 1, lsn: 1n }, later());
+      }
+      hostList.leavingInstances.add("b");
+      const view = health.view(DATABASE)!;
+      expect(view.instances.map((item) => item.usable)).toEqual(
+        [true, false, true],
+      );
+    });
+
+    it("exclude a slow replica, for a time", async () => {
+      await health.primary(DATABASE, later());
+      await health.applied(DATABASE, ["b"], { term: 1, lsn: 1n }, later());
+      await health.applied(DATABASE, ["c"], { term: 1, lsn: 1n }, later());
+      for (let count = 0; count < 60; count += 1) {
+        health.reportLatency(DATABASE, "b", 2);
+        health.reportLatency(DATABASE, "c", 400);
+      }
+      const slow = () =>
+        health.view(DATABASE)!.instances.find((item) => item.slow)?.instance
+          .name;
+      expect(slow()).toEqual("c");
+      const deadline = later();
+      while (slow() === "c" && performance.now() < deadline) await sleep(50);
+      expect(slow()).toEqual(undefined);
+    });
+  });
+
+  it("keeps its state when the document changes", async () => {
+    await health.primary(DATABASE, later());
+    const other = createGroup(instances, { preferredPrimary: "b" });
+    configuration.set([other, createGroup(instances, { database: "stock" })]);
+    expect(health.view(DATABASE)?.primary).toEqual("a");
+    expect(health.view(DATABASE)?.group.preferredPrimary).toEqual("b");
+    const result = await health.primary("stock", later());
+    expect(result.isOk()).toEqual(true);
+  });
+});
--- a/test/position_test.ts
+++ b/test/position_test.ts
@@ -55,6 +55,12 @@
       );
     });
 
+    it("fails for a position of a term that the history skipped", () => {
+      expect(containsPosition(history, 150n, { term: 2, lsn: 100n })).toEqual(
+        false,
+      );
+    });
+
     it("fails for a log that ends earlier or at a lower term", () => {
       expect(containsPosition(history, 150n, { term: 3, lsn: 151n })).toEqual(
         false,
