Connections: pools, queues by priority and the split of the budget

Purpose: lend authenticated upstream connections under a number that all live proxies share. With more proxies than half the limit only the first by rendezvous hash hold connections.

Not yet tried against an instance.

--- /dev/null
+++ b/src/plugins/connections/admission.ts
@@ -0,0 +1,100 @@
+/**
+ * Decides early whether a statement may wait for a connection to an instance.
+ *
+ * @module
+ */
+import { err, type Result } from "neverthrow";
+import {
+  createFailure,
+  type Failure,
+  type ResultCode,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import type { ConnectionRequest, Priority } from "./connections.ts";
+import { ServiceTime } from "./service_time.ts";
+import type { WaitingQueue } from "./waiting_queue.ts";
+
+/** Longest expected wait with which a statement is let into the queue. */
+const EXPECTED_WAIT_MAX_MS: Readonly<Record<Priority, number>> = {
+  high: 1_500,
+  normal: 1_000,
+  low: 500,
+};
+
+const SHED_REPORT_INTERVAL_MS = 1_000;
+
+/** Told of refusals: the code of the latest, and how many there were since the last report. */
+export type ShedReport = (code: ResultCode, count: number) => void;
+
+/** Admission to the queue of one instance. */
+export class Admission {
+  /** Most statements that may wait. */
+  queueLength: number;
+  readonly #instance: string;
+  readonly #report: ShedReport;
+  readonly #serviceTime = new ServiceTime();
+  #shed = 0;
+  #reportedAt = -Infinity;
+
+  constructor(instance: string, queueLength: number, report: ShedReport) {
+    this.#instance = instance;
+    this.queueLength = queueLength;
+    this.#report = report;
+  }
+
+  /** Notes for how long a connection was lent, in ms. */
+  noteService(duration: number): void {
+    this.#serviceTime.note(duration);
+  }
+
+  /**
+   * Why the statement may not wait; undefined when it may. When the queue is
+   * full, a statement of a lower class makes room and is refused in its place.
+   */
+  refusal<T>(
+    request: ConnectionRequest,
+    queue: WaitingQueue<Result<T, Failure>>,
+    connections: number,
+  ): Failure | undefined {
+    const left = request.deadline - performance.now();
+    if (left <= 0) return this.deadlineFailure();
+    const ahead = queue.ahead(request.priority);
+    const wait = this.#serviceTime.mean * ahead / Math.max(1, connections);
+    if (wait > Math.min(left, EXPECTED_WAIT_MAX_MS[request.priority])) {
+      return this.#failure(
+        ResultCodes.QUEUE_FULL,
+        `the expected wait for a connection to ${this.#instance} is ${
+          Math.round(wait)
+        } ms`,
+      );
+    }
+    if (queue.size < this.queueLength) return undefined;
+    const failure = this.#failure(
+      ResultCodes.QUEUE_FULL,
+      `the queue for connections to ${this.#instance} is full`,
+    );
+    const displaced = queue.displace(request.priority);
+    if (!displaced) return failure;
+    displaced(err(failure));
+    return undefined;
+  }
+
+  /** The failure of a statement that has waited to its deadline. */
+  deadlineFailure(): Failure {
+    return this.#failure(
+      ResultCodes.QUEUE_DEADLINE,
+      `no connection to ${this.#instance} within the deadline`,
+    );
+  }
+
+  #failure(code: ResultCode, message: string): Failure {
+    this.#shed += 1;
+    const now = performance.now();
+    if (now - this.#reportedAt > SHED_REPORT_INTERVAL_MS) {
+      this.#report(code, this.#shed);
+      this.#reportedAt = now;
+      this.#shed = 0;
+    }
+    return createFailure(code, message);
+  }
+}
--- /dev/null
+++ b/src/plugins/connections/budget.ts
@@ -0,0 +1,117 @@
+/**
+ * How the connections of one instance are shared by the live proxies.
+ *
+ * Every proxy computes the split from what it has heard of the others; proxies
+ * with the same view come to the same split, and its sum never exceeds the
+ * limit. While views differ, the sum of what the proxies believe may exceed it
+ * for a moment: the instance then refuses to open, which a pool takes as a
+ * signal to wait.
+ *
+ * The rule, for a limit L and n proxies:
+ *
+ * 1. At most max(1, floor(L / 2)) proxies hold connections to one instance.
+ *    With more proxies than that, those with the highest rendezvous hash of
+ *    (proxy, database, instance) are the holders; each other proxy has share 0
+ *    and must send its statements through a holder. A proxy that joins or
+ *    leaves changes at most one holder of an instance.
+ * 2. Each holder has a guaranteed minimum of max(1, floor(L / (4 × holders))).
+ * 3. The rest goes by demand. Where it covers all demands, each holder gets its
+ *    demand and an even part of what is left; else parts in proportion to the
+ *    demand beyond the minimum, rounded by largest remainder.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+
+/** The demand of one proxy for connections to an instance. */
+export interface ProxyDemand {
+  readonly proxy: string;
+  /** Whole number of connections, 0 or more. */
+  readonly wanted: number;
+}
+
+/** What is to be split. */
+export interface Budget {
+  readonly database: string;
+  readonly instance: string;
+  /** Connections that the instance grants to all proxies together. */
+  readonly limit: number;
+  readonly demands: readonly ProxyDemand[];
+}
+
+/** Fewest connections of the limit for each holder. */
+const CONNECTIONS_PER_HOLDER = 2;
+
+/** The guaranteed minimum of each holder is its even part divided by this. */
+const MINIMUM_DIVISOR = 4;
+
+/** Splits the limit; gives the share of each proxy by name. */
+export function splitBudget(budget: Budget): ReadonlyMap<string, number> {
+  const shares = new Map(budget.demands.map((item) => [item.proxy, 0]));
+  const holders = chooseHolders(budget);
+  if (holders.length === 0) return shares;
+  const minimum = Math.max(
+    1,
+    Math.floor(budget.limit / (MINIMUM_DIVISOR * holders.length)),
+  );
+  const extras = holders.map((holder) => extraDemand(holder, budget, minimum));
+  const rest = budget.limit - minimum * holders.length;
+  const parts = divideRest(rest, extras);
+  holders.forEach((holder, index) => {
+    shares.set(holder.proxy, minimum + parts[index]!);
+  });
+  return shares;
+}
+
+/** The proxies that hold connections to the instance, in order of their rank. */
+function chooseHolders(budget: Budget): readonly ProxyDemand[] {
+  const most = Math.max(1, Math.floor(budget.limit / CONNECTIONS_PER_HOLDER));
+  return budget.demands
+    .map((demand) => ({ demand, rank: rankOf(demand.proxy, budget) }))
+    .sort((a, b) => a.rank < b.rank ? -1 : 1)
+    .slice(0, most)
+    .map(({ demand }) => demand);
+}
+
+const ranks = new Map<string, string>();
+const RANKS_MAX = 50_000;
+
+function rankOf(proxy: string, { database, instance }: Budget): string {
+  const key = `${proxy}\0${database}\0${instance}`;
+  const known = ranks.get(key);
+  if (known) return known;
+  if (ranks.size >= RANKS_MAX) ranks.clear();
+  const rank = createHash("sha1").update(key).digest("hex");
+  ranks.set(key, rank);
+  return rank;
+}
+
+function extraDemand(
+  holder: ProxyDemand,
+  budget: Budget,
+  minimum: number,
+): number {
+  const wanted = Math.min(Math.max(0, Math.ceil(holder.wanted)), budget.limit);
+  return Math.max(0, wanted - minimum);
+}
+
+function divideRest(rest: number, extras: readonly number[]): number[] {
+  const sum = extras.reduce((total, extra) => total + extra, 0);
+  if (sum > rest) return apportion(rest, extras);
+  const spare = apportion(rest - sum, extras.map(() => 1));
+  return extras.map((extra, index) => extra + spare[index]!);
+}
+
+/** Largest remainder; equal remainders go by order. All in whole numbers. */
+function apportion(seats: number, weights: readonly number[]): number[] {
+  const sum = weights.reduce((total, weight) => total + weight, 0);
+  const parts = weights.map((weight) => Math.floor(seats * weight / sum));
+  const remainders = weights.map((weight, index) => ({
+    index,
+    remainder: (seats * weight) % sum,
+  }));
+  remainders.sort((a, b) => b.remainder - a.remainder || a.index - b.index);
+  const left = seats - parts.reduce((total, part) => total + part, 0);
+  for (const { index } of remainders.slice(0, left)) parts[index]! += 1;
+  return parts;
+}
--- /dev/null
+++ b/src/plugins/connections/idle_stack.ts
@@ -0,0 +1,46 @@
+/**
+ * The idle connections of a pool. The one used last is lent first, so that the
+ * ones that are not needed grow old at the other end.
+ *
+ * @module
+ */
+import type { PooledConnection } from "./pooled_connection.ts";
+
+/** Idle connections, by time of use. */
+export class IdleStack {
+  readonly #connections: PooledConnection[] = [];
+
+  get size(): number {
+    return this.#connections.length;
+  }
+
+  /** Adds a connection and watches it. */
+  push(connection: PooledConnection): void {
+    this.#connections.push(connection);
+    connection.watch();
+  }
+
+  /** Takes out the connection used last; destroys those found unsound. */
+  pop(): PooledConnection | undefined {
+    for (;;) {
+      const connection = this.#connections.pop();
+      if (!connection || connection.sound) return connection;
+      connection.destroy();
+    }
+  }
+
+  /** Takes out the connection used first, when it was last used before the time. */
+  shiftUnused(before = Infinity): PooledConnection | undefined {
+    const oldest = this.#connections[0];
+    if (!oldest || oldest.usedAt >= before) return undefined;
+    return this.#connections.shift();
+  }
+
+  /** Takes out a connection; false when it was not idle. */
+  remove(connection: PooledConnection): boolean {
+    const index = this.#connections.indexOf(connection);
+    if (index < 0) return false;
+    this.#connections.splice(index, 1);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/plugins/connections/instance_pool.ts
@@ -0,0 +1,295 @@
+/**
+ * The connections of this proxy to one instance, and the statements that wait for one.
+ *
+ * @module
+ */
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import {
+  type EventFields,
+  type EventKind,
+  type EventLog,
+  Events,
+} from "../../kernel/events.ts";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import { Admission } from "./admission.ts";
+import type { ConnectionRequest, ConnectionUse } from "./connections.ts";
+import { DemandMeter } from "./demand_meter.ts";
+import { type ConnectionOwner, PooledConnection } from "./pooled_connection.ts";
+import { IdleStack } from "./idle_stack.ts";
+import { Opener } from "./opener.ts";
+import type { OpenedUpstream, UpstreamTarget } from "./upstream_client.ts";
+import { WaitingQueue } from "./waiting_queue.ts";
+
+/** What a pool needs of its surroundings. */
+export interface PoolOptions {
+  readonly target: UpstreamTarget;
+  readonly queueLength: number;
+  readonly log: EventLog;
+  /** Opens a connection to the target. */
+  readonly open: () => ResultAsync<OpenedUpstream, Failure>;
+  /** Told when the instance can't be reached or has ended an idle connection. */
+  readonly onFailure: () => void;
+}
+
+/** Idle connections that are kept open while the share allows it. */
+const WARM_CONNECTIONS = 2;
+
+/** An idle connection beyond the warm ones is closed after this time without use. */
+const IDLE_TIMEOUT_MS = 30_000;
+
+type Loan = Result<PooledConnection, Failure>;
+
+/** Pool of one instance. */
+export class InstancePool implements ConnectionOwner {
+  readonly demand = new DemandMeter();
+  readonly admission: Admission;
+  readonly #options: PoolOptions;
+  readonly #idle = new IdleStack();
+  readonly #open = new Set<PooledConnection>();
+  readonly #busy = new Set<PooledConnection>();
+  /** Connections that end but may still count at the instance. */
+  readonly #ending = new Set<PooledConnection>();
+  readonly #queue = new WaitingQueue<Loan>();
+  readonly #opener: Opener;
+  #opened = 0;
+  #share = 0;
+  #closedFor: Failure | undefined;
+  #releasedAt = -Infinity;
+
+  constructor(options: PoolOptions) {
+    this.#options = options;
+    this.admission = new Admission(
+      options.target.instance,
+      options.queueLength,
+      (code, count) =>
+        this.#log(Events.LOAD_SHED, { code: code.number, count }),
+    );
+    this.#opener = new Opener({
+      open: options.open,
+      onOpened: (opened) => this.#onOpened(opened),
+      onFailed: (failure, begun) => this.#onFailed(failure, begun),
+      onPauseEnded: () => this.#openForWaiters(),
+    });
+  }
+
+  get target(): UpstreamTarget {
+    return this.#options.target;
+  }
+
+  get load(): number {
+    return this.#busy.size + this.#queue.size;
+  }
+
+  /** Connections that count at the instance, those that open or end included. */
+  get #held(): number {
+    return this.#open.size + this.#ending.size + this.#opener.pending;
+  }
+
+  get use(): ConnectionUse {
+    return {
+      database: this.target.database,
+      instance: this.target.instance,
+      open: this.#held,
+      busy: this.#busy.size,
+      waiting: this.#queue.size,
+      share: this.#share,
+      opened: this.#opened,
+    };
+  }
+
+  /** Lends a connection. */
+  acquire(request: ConnectionRequest): ResultAsync<PooledConnection, Failure> {
+    if (this.#closedFor) return settled(err(this.#closedFor));
+    const idle = this.#idle.pop();
+    if (idle) {
+      this.#lend(idle);
+      this.#openAhead();
+      return settled(ok(idle));
+    }
+    const refusal = this.#refusal(request);
+    if (refusal) return settled(err(refusal));
+    const loan = new ResultAsync(this.#wait(request));
+    this.#openForWaiters();
+    return loan;
+  }
+
+  /** Sets how many connections this proxy may hold; idle ones beyond it are closed at once. */
+  setShare(share: number): void {
+    this.#share = share;
+    this.#closeIdle(share);
+    this.#openForWaiters();
+    this.#openAhead();
+  }
+
+  /** Lends no more: waiters get the failure, idle connections are closed, lent ones as they come back. */
+  close(failure: Failure): void {
+    if (this.#closedFor) return;
+    this.#closedFor = failure;
+    this.#failWaiters(failure);
+    this.#closeIdle(0);
+  }
+
+  /** Lends again after `close`. */
+  reopen(): void {
+    this.#closedFor = undefined;
+    this.#openAhead();
+  }
+
+  /** Closes all connections, lent ones too. */
+  destroy(failure: Failure): void {
+    this.close(failure);
+    for (const connection of [...this.#busy]) connection.destroy();
+  }
+
+  /** Regular upkeep: the demand is sampled and an idle surplus closed, one at a time. */
+  maintain(now: number): void {
+    this.demand.sample(this.load);
+    if (this.#open.size > WARM_CONNECTIONS) {
+      const unused = this.#idle.shiftUnused(now - IDLE_TIMEOUT_MS);
+      if (unused) this.#end(unused);
+    }
+    this.#openForWaiters();
+    this.#openAhead();
+  }
+
+  released(connection: PooledConnection): void {
+    const now = performance.now();
+    this.#busy.delete(connection);
+    this.admission.noteService(now - connection.usedAt);
+    this.#releasedAt = now;
+    connection.usedAt = now;
+    if (this.#closedFor || this.#open.size > this.#share) {
+      this.#end(connection);
+      return;
+    }
+    this.#offer(connection);
+  }
+
+  closed(connection: PooledConnection): void {
+    this.#open.delete(connection);
+    this.#ending.delete(connection);
+    this.#busy.delete(connection);
+    if (this.#idle.remove(connection)) this.#options.onFailure();
+    this.#log(Events.CONNECTION_CLOSED, { connection: connection.id });
+    this.#openForWaiters();
+  }
+
+  #end(connection: PooledConnection): void {
+    this.#open.delete(connection);
+    this.#ending.add(connection);
+    connection.end();
+  }
+
+  #offer(connection: PooledConnection): void {
+    const waiter = this.#queue.shift();
+    if (waiter) {
+      this.#lend(connection);
+      waiter(ok(connection));
+      return;
+    }
+    this.#idle.push(connection);
+  }
+
+  #lend(connection: PooledConnection): void {
+    this.#busy.add(connection);
+    connection.lend();
+    this.demand.note(this.load);
+  }
+
+  #refusal(request: ConnectionRequest): Failure | undefined {
+    const { instance } = this.target;
+    if (this.#share === 0 && this.#open.size === 0) {
+      return createFailure(
+        ResultCodes.UPSTREAM_REFUSED,
+        `other proxies hold all connections to ${instance}`,
+      );
+    }
+    if (this.#opener.unreachable && this.#busy.size === 0) {
+      return createFailure(
+        ResultCodes.UPSTREAM_UNREACHABLE,
+        `${instance} could not be reached a moment ago`,
+      );
+    }
+    return this.admission.refusal(request, this.#queue, this.#open.size);
+  }
+
+  #wait({ priority, deadline }: ConnectionRequest): Promise<Loan> {
+    const loan = this.#queue.wait(
+      priority,
+      deadline,
+      () => err(this.admission.deadlineFailure()),
+    );
+    this.demand.note(this.load);
+    return loan;
+  }
+
+  #openForWaiters(): void {
+    while (this.#opener.pending < this.#queue.size && this.#mayOpen()) {
+      this.#opener.open();
+    }
+  }
+
+  /** Keeps a warm connection beyond the lent ones, so that the next statement need not wait for an opening. */
+  #openAhead(): void {
+    const spare = this.#idle.size + this.#opener.pending - this.#queue.size;
+    const total = this.#open.size + this.#opener.pending;
+    const rising = this.#busy.size >= this.demand.wanted;
+    if (total >= WARM_CONNECTIONS && (spare > 0 || !rising)) return;
+    if (this.#mayOpen()) this.#opener.open();
+  }
+
+  #mayOpen(): boolean {
+    return !this.#closedFor && this.#held < this.#share &&
+      !this.#opener.paused;
+  }
+
+  #onOpened(opened: OpenedUpstream): void {
+    this.#opened += 1;
+    const connection = new PooledConnection(this.target, opened, this);
+    this.#open.add(connection);
+    this.#log(Events.CONNECTION_OPENED, { connection: connection.id });
+    if (this.#closedFor || this.#open.size > this.#share) {
+      this.#end(connection);
+      return;
+    }
+    this.#offer(connection);
+  }
+
+  #onFailed(failure: Failure, begun: number): void {
+    this.#log(Events.CONNECTION_REFUSED, { reason: failure.message });
+    if (failure.code === ResultCodes.UPSTREAM_REFUSED) return;
+    this.#options.onFailure();
+    const working = this.#releasedAt > begun;
+    if (!working) this.#failWaiters(failure);
+  }
+
+  #closeIdle(most: number): void {
+    while (this.#open.size > most) {
+      const connection = this.#idle.shiftUnused();
+      if (!connection) return;
+      this.#end(connection);
+    }
+  }
+
+  #failWaiters(failure: Failure): void {
+    for (const waiter of this.#queue.clear()) waiter(err(failure));
+  }
+
+  #log(
+    kind: EventKind,
+    fields: EventFields,
+  ): void {
+    const { log, target } = this.#options;
+    if (!log.enabled(kind)) return;
+    const { database, instance } = target;
+    log.write(kind, { database, instance, ...fields });
+  }
+}
+
+function settled(loan: Loan): ResultAsync<PooledConnection, Failure> {
+  return new ResultAsync(Promise.resolve(loan));
+}
--- /dev/null
+++ b/src/plugins/connections/opener.ts
@@ -0,0 +1,73 @@
+/**
+ * Opens the connections of a pool, with a jittered pause after failures: a full
+ * instance is a signal to wait, one that can't be reached makes statements fail fast.
+ *
+ * @module
+ */
+import type { ResultAsync } from "neverthrow";
+import { type Failure, ResultCodes } from "../../kernel/result_codes.ts";
+import { RetryDelay } from "./retry_delay.ts";
+import type { OpenedUpstream } from "./upstream_client.ts";
+
+/** What an opener needs and whom it tells. */
+export interface OpenerOptions {
+  readonly open: () => ResultAsync<OpenedUpstream, Failure>;
+  readonly onOpened: (opened: OpenedUpstream) => void;
+  /** The instance refused or can't be reached; `begun` is the monotonic ms of the attempt. */
+  readonly onFailed: (failure: Failure, begun: number) => void;
+  /** The pause after a failure has ended. */
+  readonly onPauseEnded: () => void;
+}
+
+/** Opener of one instance. */
+export class Opener {
+  readonly #options: OpenerOptions;
+  readonly #refused = new RetryDelay();
+  readonly #unreachable = new RetryDelay();
+  #pending = 0;
+
+  constructor(options: OpenerOptions) {
+    this.#options = options;
+  }
+
+  /** Attempts under way. */
+  get pending(): number {
+    return this.#pending;
+  }
+
+  /** Whether the instance could not be reached a moment ago. */
+  get unreachable(): boolean {
+    return this.#unreachable.waiting(performance.now());
+  }
+
+  /** Whether the pause after a failure of either kind lasts. */
+  get paused(): boolean {
+    return this.unreachable || this.#refused.waiting(performance.now());
+  }
+
+  /** Begins an attempt. */
+  open(): void {
+    this.#pending += 1;
+    const begun = performance.now();
+    void this.#options.open().match(
+      (opened) => this.#succeed(opened),
+      (failure) => this.#fail(failure, begun),
+    );
+  }
+
+  #succeed(opened: OpenedUpstream): void {
+    this.#pending -= 1;
+    this.#refused.reset();
+    this.#unreachable.reset();
+    this.#options.onOpened(opened);
+  }
+
+  #fail(failure: Failure, begun: number): void {
+    this.#pending -= 1;
+    const refused = failure.code === ResultCodes.UPSTREAM_REFUSED;
+    const delay = refused ? this.#refused : this.#unreachable;
+    const pause = delay.next(performance.now());
+    setTimeout(this.#options.onPauseEnded, pause + 1).unref();
+    this.#options.onFailed(failure, begun);
+  }
+}
--- /dev/null
+++ b/src/plugins/connections/plugin.ts
@@ -0,0 +1,27 @@
+/**
+ * Registers the connections.
+ *
+ * @module
+ */
+import { registerPlugin } from "../../kernel/kernel.ts";
+import { SharedConnections } from "./shared_connections.ts";
+
+registerPlugin({
+  name: "connections",
+  needs: ["configuration", "health", "membership"],
+  create: ({ settings, log, use }) =>
+    new SharedConnections({
+      proxy: settings.name,
+      identity: {
+        address: settings.address,
+        user: settings.upstreamUser,
+        password: settings.upstreamPassword,
+        applicationName: `marjoramshed-${settings.name}`,
+        authority: settings.upstreamAuthority,
+      },
+      configuration: use("configuration"),
+      health: use("health"),
+      membership: use("membership"),
+      log,
+    }),
+});
--- /dev/null
+++ b/src/plugins/connections/pooled_connection.ts
@@ -0,0 +1,115 @@
+/**
+ * One open connection of a pool.
+ *
+ * @module
+ */
+import type { Socket } from "node:net";
+import type { UpstreamConnection } from "./connections.ts";
+import type { OpenedUpstream, UpstreamTarget } from "./upstream_client.ts";
+
+/** What a connection tells its pool. */
+export interface ConnectionOwner {
+  /** The borrower gave it back. */
+  released(connection: PooledConnection): void;
+  /** The socket is closed, for whatever reason. */
+  closed(connection: PooledConnection): void;
+}
+
+/** Message Terminate of the protocol: a connection that ends in good order. */
+const TERMINATE = Buffer.from([0x58, 0, 0, 0, 4]);
+
+/** How long the instance may take to close its side. */
+const CLOSE_TIMEOUT_MS = 1_000;
+
+const READER_EVENTS = ["data", "readable", "drain"] as const;
+
+let lastId = 0;
+
+/** Connection of a pool, lent to one borrower at a time. */
+export class PooledConnection implements UpstreamConnection {
+  readonly id = ++lastId;
+  readonly database: string;
+  readonly instance: string;
+  readonly socket: Socket;
+  readonly processId: number;
+  readonly secretKey: number;
+  readonly parameters: ReadonlyMap<string, string>;
+  readonly prepared = new Set<string>();
+  readonly settings = new Map<string, string>();
+  /** Monotonic ms of the last loan or return. */
+  usedAt = performance.now();
+
+  readonly #owner: ConnectionOwner;
+  #lent = false;
+  #closing = false;
+
+  constructor(
+    target: UpstreamTarget,
+    opened: OpenedUpstream,
+    owner: ConnectionOwner,
+  ) {
+    this.database = target.database;
+    this.instance = target.instance;
+    this.socket = opened.socket;
+    this.processId = opened.processId;
+    this.secretKey = opened.secretKey;
+    this.parameters = opened.parameters;
+    this.#owner = owner;
+    this.socket.on("error", () => {});
+    this.socket.once("close", () => {
+      this.#closing = true;
+      owner.closed(this);
+    });
+  }
+
+  /** Whether it can be lent: open, and nothing has come in that no one asked for. */
+  get sound(): boolean {
+    return !this.#closing && !this.socket.destroyed && this.socket.writable &&
+      this.socket.readableLength === 0;
+  }
+
+  /** Begins to watch for the end of an idle connection and for unasked data. */
+  watch(): void {
+    this.socket.once("data", this.#unasked);
+    this.socket.resume();
+  }
+
+  /** Marks it as lent; the socket is paused and without reader. */
+  lend(): void {
+    this.#lent = true;
+    this.usedAt = performance.now();
+    this.socket.off("data", this.#unasked);
+    this.socket.pause();
+  }
+
+  release(): void {
+    if (!this.#lent) return;
+    this.#lent = false;
+    for (const event of READER_EVENTS) this.socket.removeAllListeners(event);
+    this.socket.pause();
+    if (!this.sound) {
+      this.destroy();
+      return;
+    }
+    this.#owner.released(this);
+  }
+
+  destroy(): void {
+    this.#lent = false;
+    this.#closing = true;
+    this.socket.destroy();
+  }
+
+  /** Ends an idle connection in good order. */
+  end(): void {
+    if (this.#closing) return;
+    this.#closing = true;
+    this.socket.off("data", this.#unasked);
+    this.socket.resume();
+    this.socket.end(TERMINATE);
+    const timer = setTimeout(() => this.socket.destroy(), CLOSE_TIMEOUT_MS);
+    this.socket.once("close", () => clearTimeout(timer));
+  }
+
+  readonly #unasked = () => this.destroy();
+}
--- /dev/null
+++ b/src/plugins/connections/shared_connections.ts
@@ -0,0 +1,288 @@
+/**
+ * Connections to all instances: one pool for each, under shares that follow the
+ * demands of all live proxies.
+ *
+ * @module
+ */
+import { err, ResultAsync } from "neverthrow";
+import { type EventLog, Events } from "../../kernel/events.ts";
+import type { Service } from "../../kernel/kernel.ts";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import type { Configuration } from "../configuration/configuration.ts";
+import type { Group, Instance } from "../document/document.ts";
+import type { Health } from "../health/health.ts";
+import type { Membership } from "../membership/membership.ts";
+import { splitBudget } from "./budget.ts";
+import type {
+  ConnectionRequest,
+  Connections,
+  ConnectionUse,
+  UpstreamConnection,
+} from "./connections.ts";
+import { DEMAND_SAMPLE_MS } from "./demand_meter.ts";
+import { InstancePool } from "./instance_pool.ts";
+import {
+  cancelUpstream,
+  openUpstream,
+  type UpstreamIdentity,
+  type UpstreamTarget,
+} from "./upstream_client.ts";
+
+/** What the connections need. */
+export interface SharedConnectionsOptions {
+  /** Name of this proxy. */
+  readonly proxy: string;
+  readonly identity: UpstreamIdentity;
+  readonly configuration: Configuration;
+  readonly health: Health;
+  readonly membership: Membership;
+  readonly log: EventLog;
+}
+
+/** Least time between two publications of the demands. */
+const PUBLISH_INTERVAL_MS = 500;
+
+/** How long a leaving instance still gets new loans, so that a planned change of primary can end them. */
+const LEAVING_GRACE_MS = 1_500;
+
+const DRAIN_POLL_MS = 20;
+
+interface Entry {
+  readonly pool: InstancePool;
+  limit: number;
+  share: number;
+  /** Whether the share has to be computed anew. */
+  stale: boolean;
+  leavingSince?: number;
+}
+
+/** Pools of all instances that this proxy uses; a group's pools are made with its first statement. */
+export class SharedConnections implements Connections, Service {
+  readonly #options: SharedConnectionsOptions;
+  readonly #entries = new Map<string, Entry>();
+  readonly #unsubscribe: (() => void)[] = [];
+  #timer: NodeJS.Timeout | undefined;
+  #publishedAt = -Infinity;
+  #draining = false;
+
+  constructor(options: SharedConnectionsOptions) {
+    this.#options = options;
+  }
+
+  start(): Promise<void> {
+    const { configuration, membership } = this.#options;
+    this.#unsubscribe.push(
+      configuration.subscribe(() => this.#takeDocument()),
+      membership.subscribe(() => this.#markStale()),
+    );
+    this.#timer = setInterval(() => this.#maintain(), DEMAND_SAMPLE_MS);
+    return Promise.resolve();
+  }
+
+  /** Refuses new loans and waits for the lent connections. */
+  async drain(deadline: number): Promise<void> {
+    this.#draining = true;
+    while (this.#busy() && performance.now() < deadline) {
+      await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS));
+    }
+  }
+
+  stop(): Promise<void> {
+    clearInterval(this.#timer);
+    for (const end of this.#unsubscribe.splice(0)) end();
+    for (const { pool } of this.#entries.values()) {
+      pool.destroy(shuttingDown());
+    }
+    this.#entries.clear();
+    return Promise.resolve();
+  }
+
+  acquire(
+    request: ConnectionRequest,
+  ): ResultAsync<UpstreamConnection, Failure> {
+    if (this.#draining) return failed(shuttingDown());
+    const key = keyOf(request.database, request.instance);
+    const entry = this.#entries.get(key) ?? this.#createEntry(request);
+    if (!entry) {
+      return failed(createFailure(
+        ResultCodes.UPSTREAM_UNREACHABLE,
+        `the document in force names no instance ${request.instance} of ${request.database}`,
+      ));
+    }
+    return entry.pool.acquire(request);
+  }
+
+  outstanding(database: string, instance: string): number {
+    return this.#entries.get(keyOf(database, instance))?.pool.load ?? 0;
+  }
+
+  use(): readonly ConnectionUse[] {
+    return [...this.#entries.values()].map(({ pool }) => pool.use);
+  }
+
+  async cancel(connection: UpstreamConnection): Promise<void> {
+    const { database, instance } = connection;
+    const entry = this.#entries.get(keyOf(database, instance));
+    if (!entry) return;
+    const { identity } = this.#options;
+    await cancelUpstream(entry.pool.target, identity, connection);
+  }
+
+  #busy(): boolean {
+    return this.use().some(({ busy }) => busy > 0);
+  }
+
+  /** Makes the pools of the whole group, so that its other instances are warm when one fails. */
+  #createEntry(request: ConnectionRequest): Entry | undefined {
+    const group = this.#options.configuration.group(request.database);
+    for (const instance of group?.instances ?? []) {
+      const key = keyOf(request.database, instance.name);
+      if (this.#entries.has(key)) continue;
+      const entry = this.#newEntry(group!, instance);
+      this.#entries.set(key, entry);
+      this.#share(entry);
+    }
+    return this.#entries.get(keyOf(request.database, request.instance));
+  }
+
+  #newEntry(group: Group, instance: Instance): Entry {
+    const { identity, health, log } = this.#options;
+    const target: UpstreamTarget = {
+      database: group.database,
+      instance: instance.name,
+      host: instance.host,
+      port: instance.port,
+    };
+    const pool = new InstancePool({
+      target,
+      log,
+      queueLength: group.queue.length,
+      open: () => openUpstream(target, identity),
+      onFailure: () => health.reportFailure(group.database, instance.name),
+    });
+    return {
+      pool,
+      limit: group.connectionsPerInstance,
+      share: 0,
+      stale: false,
+    };
+  }
+
+  /** Lets go of pools whose instance the document no longer names at that address. */
+  #takeDocument(): void {
+    for (const [key, entry] of this.#entries) {
+      if (this.#keep(entry)) continue;
+      this.#entries.delete(key);
+      entry.pool.close(createFailure(
+        ResultCodes.UPSTREAM_UNREACHABLE,
+        `${entry.pool.target.instance} is no longer in the document in force`,
+      ));
+    }
+  }
+
+  #keep(entry: Entry): boolean {
+    const { target, admission } = entry.pool;
+    const group = this.#options.configuration.group(target.database);
+    const instance = group?.instances.find(({ name }) =>
+      name === target.instance
+    );
+    if (!group || instance?.host !== target.host) return false;
+    if (instance.port !== target.port) return false;
+    entry.limit = group.connectionsPerInstance;
+    entry.stale = true;
+    admission.queueLength = group.queue.length;
+    return true;
+  }
+
+  #maintain(): void {
+    const now = performance.now();
+    for (const entry of this.#entries.values()) {
+      if (entry.stale) this.#share(entry);
+      entry.pool.maintain(now);
+      this.#heedLeaving(entry, now);
+    }
+    this.#publish(now);
+  }
+
+  #heedLeaving(entry: Entry, now: number): void {
+    const { database, instance } = entry.pool.target;
+    const view = this.#options.health.view(database)?.instances
+      .find((item) => item.instance.name === instance);
+    if (!view?.leaving) {
+      if (entry.leavingSince !== undefined) entry.pool.reopen();
+      entry.leavingSince = undefined;
+      return;
+    }
+    entry.leavingSince ??= now;
+    if (now - entry.leavingSince < LEAVING_GRACE_MS) return;
+    entry.pool.close(createFailure(
+      ResultCodes.UPSTREAM_UNREACHABLE,
+      `${instance} is leaving`,
+    ));
+  }
+
+  #publish(now: number): void {
+    if (now - this.#publishedAt < PUBLISH_INTERVAL_MS) return;
+    const pools = [...this.#entries.values()].map(({ pool }) => pool);
+    if (!pools.some(({ demand }) => demand.moved)) return;
+    this.#publishedAt = now;
+    for (const { demand } of pools) demand.publish();
+    this.#options.membership.publishDemands(
+      pools.filter(({ demand }) => demand.published > 0).map((pool) => ({
+        database: pool.target.database,
+        instance: pool.target.instance,
+        wanted: pool.demand.published,
+      })),
+    );
+    this.#markStale();
+  }
+
+  #markStale(): void {
+    for (const entry of this.#entries.values()) entry.stale = true;
+  }
+
+  #share(entry: Entry): void {
+    entry.stale = false;
+    const { membership, proxy, log } = this.#options;
+    const { database, instance } = entry.pool.target;
+    const proxies = membership.alive();
+    const shares = splitBudget({
+      database,
+      instance,
+      limit: entry.limit,
+      demands: proxies.map(({ name, demands }) => ({
+        proxy: name,
+        wanted: demands.find((demand) =>
+          demand.database === database && demand.instance === instance
+        )?.wanted ?? 0,
+      })),
+    });
+    const share = shares.get(proxy) ?? 0;
+    if (share === entry.share) return;
+    log.write(Events.SHARE_CHANGED, {
+      database,
+      instance,
+      share,
+      before: entry.share,
+      proxies: proxies.length,
+    });
+    entry.share = share;
+    entry.pool.setShare(share);
+  }
+}
+
+function keyOf(database: string, instance: string): string {
+  return `${database}/${instance}`;
+}
+
+function failed(failure: Failure): ResultAsync<never, Failure> {
+  return new ResultAsync(Promise.resolve(err(failure)));
+}
+
+function shuttingDown(): Failure {
+  return createFailure(ResultCodes.SHUTTING_DOWN, "this proxy is stopping");
+}
--- /dev/null
+++ b/src/plugins/connections/upstream_client.ts
@@ -0,0 +1,166 @@
+/**
+ * Opens and authenticates connections to an instance through `pg` and takes
+ * over the connected socket; sends cancel requests.
+ *
+ * @module
+ */
+import { readFile } from "node:fs/promises";
+import { Socket } from "node:net";
+import { ResultAsync } from "neverthrow";
+import pg from "pg";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+
+/** How to reach and enter an instance. */
+export interface UpstreamTarget {
+  readonly database: string;
+  readonly instance: string;
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Whom to be at the upstreams. */
+export interface UpstreamIdentity {
+  /** IP number to connect from. */
+  readonly address: string;
+  readonly user: string;
+  readonly password: string;
+  readonly applicationName: string;
+  /** Authority of the upstreams' certificates, a PEM file; turns TLS on. */
+  readonly authority?: string;
+}
+
+/** An open, authenticated connection; its socket is paused and has no reader. */
+export interface OpenedUpstream {
+  readonly socket: Socket;
+  readonly processId: number;
+  readonly secretKey: number;
+  readonly parameters: ReadonlyMap<string, string>;
+}
+
+const OPEN_TIMEOUT_MS = 1_000;
+const CANCEL_TIMEOUT_MS = 1_000;
+const TOO_MANY_CONNECTIONS = "53300";
+
+/** What `pg` leaves out of its types. */
+interface WireConnection extends pg.Connection {
+  connect(port: number, host: string): void;
+  requestSsl(): void;
+  cancel(processId: number, secretKey: number): void;
+}
+interface WireClient {
+  readonly connection: WireConnection;
+  readonly processID: number;
+  readonly secretKey: number;
+}
+interface ParameterStatus {
+  readonly parameterName: string;
+  readonly parameterValue: string;
+}
+
+/** Opens a connection; fails with UPSTREAM_REFUSED when the instance has no free one, else with UPSTREAM_UNREACHABLE. */
+export function openUpstream(
+  target: UpstreamTarget,
+  identity: UpstreamIdentity,
+): ResultAsync<OpenedUpstream, Failure> {
+  return ResultAsync.fromPromise(
+    open(target, identity),
+    (error) => openingFailure(target, error),
+  );
+}
+
+async function open(
+  target: UpstreamTarget,
+  identity: UpstreamIdentity,
+): Promise<OpenedUpstream> {
+  const client = new pg.Client({
+    host: target.host,
+    port: target.port,
+    database: target.database,
+    user: identity.user,
+    password: identity.password,
+    application_name: identity.applicationName,
+    connectionTimeoutMillis: OPEN_TIMEOUT_MS,
+    ssl: await resolveTls(identity),
+    stream: () => createSocket(identity.address),
+  });
+  const wire = client as unknown as WireClient;
+  const parameters = new Map<string, string>();
+  wire.connection.on("parameterStatus", (status: ParameterStatus) => {
+    parameters.set(status.parameterName, status.parameterValue);
+  });
+  // After the takeover the pool watches the socket itself.
+  client.on("error", () => {});
+  try {
+    await client.connect();
+  } catch (error) {
+    wire.connection.stream.destroy();
+    throw error;
+  }
+  const socket = wire.connection.stream as Socket;
+  socket.pause();
+  socket.removeAllListeners("data");
+  return {
+    socket,
+    processId: wire.processID,
+    secretKey: wire.secretKey,
+    parameters,
+  };
+}
+
+/** Sends a cancel request on a new socket; resolves when the instance has closed it. */
+export async function cancelUpstream(
+  target: UpstreamTarget,
+  identity: UpstreamIdentity,
+  opened: Pick<OpenedUpstream, "processId" | "secretKey">,
+): Promise<void> {
+  const ssl = await resolveTls(identity);
+  const connection = new pg.Connection({
+    ssl,
+    stream: () => createSocket(identity.address),
+  }) as WireConnection;
+  await new Promise<void>((resolve) => {
+    const timer = setTimeout(resolve, CANCEL_TIMEOUT_MS);
+    const send = () => connection.cancel(opened.processId, opened.secretKey);
+    connection.on("error", () => resolve());
+    connection.on("end", () => resolve());
+    connection.on("sslconnect", send);
+    connection.on("connect", () => ssl ? connection.requestSsl() : send());
+    connection.connect(target.port, target.host);
+    connection.once("end", () => clearTimeout(timer));
+  });
+  connection.stream.destroy();
+}
+
+/** The certificate is read for each connection, so that a new file is in force without a restart. */
+async function resolveTls(
+  identity: UpstreamIdentity,
+): Promise<{ readonly ca: string } | false> {
+  if (!identity.authority) return false;
+  return { ca: await readFile(identity.authority, "utf8") };
+}
+
+/** A socket that connects from the given address. */
+function createSocket(localAddress: string): Socket {
+  const socket = new Socket();
+  const connect = socket.connect.bind(socket);
+  const connectFrom = (port: number, host: string) =>
+    connect({ port, host, localAddress });
+  socket.connect = connectFrom as Socket["connect"];
+  return socket;
+}
+
+function openingFailure(target: UpstreamTarget, error: unknown): Failure {
+  const sqlState = (error as { readonly code?: unknown }).code;
+  const message = error instanceof Error ? error.message : String(error);
+  const code = sqlState === TOO_MANY_CONNECTIONS
+    ? ResultCodes.UPSTREAM_REFUSED
+    : ResultCodes.UPSTREAM_UNREACHABLE;
+  return createFailure(
+    code,
+    `can't open a connection to ${target.instance}: ${message}`,
+  );
+}
