--- a/standins/stack/daemon_process.ts
+++ b/standins/stack/daemon_process.ts
@@ -10,6 +10,17 @@
 const READY_TIMEOUT_MS = 60_000;
 const STOP_TIMEOUT_MS = 25_000;
 
+// The SDK of the platform's services warns of a later end of support.
+const environment = {
+  ...process.env,
+  AWS_SDK_JS_NODE_VERSION_SUPPORT_WARNING_DISABLED: "true",
+};
+
+const running = new Set<ChildProcess>();
+process.once("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+
 /** What a daemon prints when it is ready. */
 export interface ReadyLine {
   readonly ready: true;
@@ -88,8 +99,10 @@
   const child = spawn(
     process.execPath,
     ["--enable-source-maps", compiledPath(module), ...args],
-    { stdio: ["ignore", "pipe", "inherit"] },
+    { stdio: ["ignore", "pipe", "inherit"], env: environment },
   );
+  running.add(child);
+  child.once("exit", () => running.delete(child));
   try {
     return new DaemonProcess(name, child, await readReadyLine(name, child));
   } catch (error) {
--- /dev/null
+++ b/standins/stack/launcher.ts
@@ -0,0 +1,129 @@
+/**
+ * Starts the processes of a plan, each with its flags.
+ *
+ * @module
+ */
+import { type DaemonProcess, startDaemon } from "./daemon_process.ts";
+import { ENVIRONMENT, examplePath } from "./example.ts";
+import type { StackOptions } from "./options.ts";
+import type {
+  HostPlan,
+  InstancePlan,
+  NetworkPlan,
+  ProxyPlan,
+  StackPlan,
+} from "./plan.ts";
+import { formatEndpoint, type Routes, urlOf } from "./routes.ts";
+
+const DEFAULT_OPEN_DELAY_MS = 12;
+const DEFAULT_HOST_LIST_LAG_MS = 1_000;
+/** User and password of the proxies at the upstreams. */
+export const UPSTREAM_USER = "marjoramshed";
+
+/** The instance that another one follows. */
+export interface ReplicationSource {
+  readonly instance: InstancePlan;
+  readonly term: number;
+}
+
+/** Starts processes of one stack. */
+export class Launcher {
+  readonly #plan: StackPlan;
+  readonly #options: StackOptions;
+  readonly #routes: Routes;
+  readonly #peerKey: string;
+
+  constructor(
+    plan: StackPlan,
+    options: StackOptions,
+    routes: Routes,
+    peerKey: string,
+  ) {
+    this.#plan = plan;
+    this.#options = options;
+    this.#routes = routes;
+    this.#peerKey = peerKey;
+  }
+
+  /** Starts a process of the platform. */
+  startPlatform(host: HostPlan): Promise<DaemonProcess> {
+    const folder = host.name.replace("-", "_");
+    const lag = this.#options.hostListLagMs ?? DEFAULT_HOST_LIST_LAG_MS;
+    const rest = host === this.#plan.hostList ? ["--lag", String(lag)] : [];
+    const args = [...listenFlags(host), ...rest];
+    return startDaemon(host.name, `standins/${folder}/main.js`, args);
+  }
+
+  /** Starts the network's process of a zone. */
+  startNetwork(plan: NetworkPlan): Promise<DaemonProcess> {
+    const { links } = plan;
+    const topology = JSON.stringify({ links, sources: this.#plan.sources });
+    const args = [...listenFlags(plan), "--topology", topology];
+    return startDaemon(plan.name, "standins/network/main.js", args);
+  }
+
+  /** Starts an instance: as the first primary, or as a replica of a source. */
+  startInstance(
+    plan: InstancePlan,
+    source?: ReplicationSource,
+  ): Promise<DaemonProcess> {
+    const { receiveLagMs = 0, applyLagMs = 0 } = this.#options;
+    const { openDelayMs = DEFAULT_OPEN_DELAY_MS } = this.#options;
+    const args = [
+      ...listenFlags(plan),
+      ...hostFlags(plan),
+      ...["--user", UPSTREAM_USER],
+      ...["--password", UPSTREAM_USER],
+      ...["--database", plan.database],
+      ...["--connections", String(plan.connections)],
+      ...["--open-delay", String(openDelayMs)],
+      ...["--receive-lag", String(receiveLagMs)],
+      ...["--apply-lag", String(applyLagMs)],
+      ...["--init-sql", examplePath(`${plan.database}.sql`)],
+      ...this.#roleFlags(source),
+    ];
+    return startDaemon(plan.name, "standins/instance/main.js", args);
+  }
+
+  /** Starts a proxy. */
+  startProxy(plan: ProxyPlan): Promise<DaemonProcess> {
+    const { tableService, objectStore, hostList } = this.#plan;
+    const { policy = "session", logLevel = "info" } = this.#options;
+    const args = [
+      "proxy",
+      ...listenFlags(plan),
+      ...hostFlags(plan),
+      ...["--environment", ENVIRONMENT],
+      ...["--peer-port", String(plan.peerPort)],
+      ...["--peer-endpoint", formatEndpoint(this.#routes.ofPeers(plan))],
+      ...["--peer-key", this.#peerKey],
+      ...["--table-service", urlOf(this.#routes.of(tableService))],
+      ...["--object-store", urlOf(this.#routes.of(objectStore))],
+      ...["--host-list", urlOf(this.#routes.of(hostList))],
+      ...["--upstream-user", UPSTREAM_USER],
+      ...["--upstream-password", UPSTREAM_USER],
+      ...["--policy", policy],
+      ...["--log-level", logLevel],
+    ];
+    return startDaemon(plan.name, "src/main.js", args);
+  }
+
+  #roleFlags(source: ReplicationSource | undefined): readonly string[] {
+    if (!source) return ["--role", "primary", "--term", "1"];
+    const endpoint = formatEndpoint(this.#routes.of(source.instance));
+    return [
+      ...["--role", "replica"],
+      ...["--source-name", source.instance.name],
+      ...["--source", endpoint],
+      ...["--term", String(source.term)],
+    ];
+  }
+}
+
+function listenFlags(host: HostPlan): readonly string[] {
+  return ["--address", host.address, "--port", String(host.port)];
+}
+
+function hostFlags(host: HostPlan): readonly string[] {
+  return ["--name", host.name, "--zone", host.zone];
+}
