--- a/standins/stack/daemon_process.ts
+++ b/standins/stack/daemon_process.ts
@@ -10,7 +10,7 @@
 const READY_TIMEOUT_MS = 60_000;
 const STOP_TIMEOUT_MS = 25_000;
 
-// The SDK's notice of a later end of support is no error of the daemons.
+// The SDK of the platform's services warns of a later end of support.
 const environment = {
   ...process.env,
   AWS_SDK_JS_NODE_VERSION_SUPPORT_WARNING_DISABLED: "true",
