--- /dev/null
+++ b/src/plugins/failover/failover_monitor.ts
@@ -0,0 +1,142 @@
+/**
+ * Failover of all groups of the document in force.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { build } from "hdr-histogram-js";
+import type { EventLog } from "../../kernel/events.ts";
+import type { Service } from "../../kernel/kernel.ts";
+import type { Configuration } from "../configuration/configuration.ts";
+import type { Health } from "../health/health.ts";
+import { PauseObserver } from "../health/pause_observer.ts";
+import type { Membership } from "../membership/membership.ts";
+import type { TableService } from "../table_service/table_service.ts";
+import type { DatabaseGroup } from "../upstream/database_group.ts";
+import type { Failover, FailoverTimings, SwitchAnnouncer } from "./failover.ts";
+import { GroupFailover } from "./group_failover.ts";
+import { publishRecord } from "./group_record.ts";
+import type { Promoted } from "./promotion.ts";
+import { Proposers } from "./proposers.ts";
+
+/** Longest wait for running statements to end once new writes are held. */
+const DRAIN_MS = 1_000;
+const DRAIN_INTERVAL_MS = 5;
+/** Looks in a row without a running statement that count as drained. */
+const DRAINED_LOOKS = 3;
+
+/** What the monitor needs. */
+export interface FailoverMonitorOptions {
+  /** Name of this proxy. */
+  readonly name: string;
+  readonly configuration: Configuration;
+  readonly health: Health;
+  readonly control: DatabaseGroup;
+  readonly membership: Membership;
+  readonly tableService: TableService;
+  readonly log: EventLog;
+  /** Statements of this proxy that run at an instance or wait for it. */
+  readonly outstanding: (database: string, instance: string) => number;
+  readonly announcer: SwitchAnnouncer;
+}
+
+/** One task for each group of the document. */
+export class FailoverMonitor implements Failover, Service {
+  readonly timings: FailoverTimings = {
+    detection: build(),
+    fencing: build(),
+    promotion: build(),
+  };
+  readonly #options: FailoverMonitorOptions;
+  readonly #groups = new Map<string, GroupFailover>();
+  readonly #proposers: Proposers;
+  readonly #pauses = new PauseObserver(() => this.#paused());
+  #unsubscribe = () => {};
+
+  constructor(options: FailoverMonitorOptions) {
+    this.#options = options;
+    const { name, membership, configuration } = options;
+    this.#proposers = new Proposers({
+      name,
+      membership,
+      proxies: () => configuration.environment()?.proxies.length ?? 0,
+    });
+  }
+
+  /** Looks after the groups of the document, now and as it changes. */
+  start(): Promise<void> {
+    this.#pauses.start();
+    const { configuration } = this.#options;
+    this.#unsubscribe = configuration.subscribe(() => this.#reconfigure());
+    this.#reconfigure();
+    return Promise.resolve();
+  }
+
+  /** Ends all tasks after their present steps. */
+  stop(): Promise<void> {
+    this.#unsubscribe();
+    this.#pauses.stop();
+    for (const group of this.#groups.values()) group.stop();
+    this.#groups.clear();
+    return Promise.resolve();
+  }
+
+  async holdWrites(
+    database: string,
+    instance: string,
+    duration: number,
+  ): Promise<void> {
+    const { health, outstanding } = this.#options;
+    health.hold(database, duration);
+    const deadline = performance.now() + Math.min(duration, DRAIN_MS);
+    let looks = 0;
+    while (looks < DRAINED_LOOKS && performance.now() < deadline) {
+      looks = outstanding(database, instance) === 0 ? looks + 1 : 0;
+      await sleep(DRAIN_INTERVAL_MS);
+    }
+  }
+
+  releaseWrites(database: string): void {
+    this.#options.health.release(database);
+  }
+
+  #reconfigure(): void {
+    const groups = this.#options.configuration.environment()?.groups ?? [];
+    const names = new Set(groups.map((group) => group.database));
+    for (const [database, group] of this.#groups) {
+      if (names.has(database)) continue;
+      group.stop();
+      this.#groups.delete(database);
+    }
+    for (const database of names) {
+      if (this.#groups.has(database)) continue;
+      const group = this.#createGroup(database);
+      this.#groups.set(database, group);
+      void group.run();
+    }
+  }
+
+  #createGroup(database: string): GroupFailover {
+    const { health, control, log, announcer } = this.#options;
+    return new GroupFailover({
+      database,
+      health,
+      control,
+      log,
+      proposers: this.#proposers,
+      timings: this.timings,
+      switchover: { health, control, log, failover: this, announcer },
+      promoted: (promoted) => this.#publish(database, promoted),
+    });
+  }
+
+  #publish(database: string, { primary, term }: Promoted): void {
+    const { tableService, log, name } = this.#options;
+    const record = { database, primary: primary.name, term, proposer: name };
+    void publishRecord(tableService, log, record);
+  }
+
+  #paused(): void {
+    for (const group of this.#groups.values()) group.forgive();
+  }
+}
--- /dev/null
+++ b/src/plugins/failover/group_record.ts
@@ -0,0 +1,41 @@
+/**
+ * The record of a group's primary in the table service. It informs; nothing depends on it.
+ *
+ * @module
+ */
+import type { EventLog } from "../../kernel/events.ts";
+import { Events } from "../../kernel/events.ts";
+import type { TableService } from "../table_service/table_service.ts";
+
+/** The fact that is published. */
+export interface GroupRecord {
+  readonly database: string;
+  readonly primary: string;
+  readonly term: number;
+  /** Name of the proxy that ordered the promotion. */
+  readonly proposer: string;
+}
+
+/** Writes a record unless the row shows the same term or a higher one. */
+export async function publishRecord(
+  tableService: TableService,
+  log: EventLog,
+  record: GroupRecord,
+): Promise<void> {
+  const { database, primary, term, proposer } = record;
+  const key = `group/${database}`;
+  const found = await tableService.get(key);
+  if (found.isErr()) return report(log, found.error.message);
+  const before = found.value?.attributes["term"];
+  if (typeof before === "number" && before >= term) return;
+  const row = { key, attributes: { primary, term, proposer } };
+  const condition = before === undefined
+    ? { kind: "absent" } as const
+    : { kind: "equals", attribute: "term", value: before } as const;
+  const written = await tableService.put([{ row, condition }]);
+  if (written.isErr()) report(log, written.error.message);
+}
+
+function report(log: EventLog, failure: string): void {
+  log.write(Events.TABLE_SERVICE_FAILED, { failure });
+}
--- /dev/null
+++ b/src/plugins/failover/switchover.ts
@@ -0,0 +1,151 @@
+/**
+ * Planned changes of primary: new writes are held, running ones end, the candidate
+ * receives all, and then it is promoted. No write fails.
+ *
+ * @module
+ */
+import { type EventLog, Events } from "../../kernel/events.ts";
+import type { Instance } from "../document/document.ts";
+import type { GroupView, Health, InstanceView } from "../health/health.ts";
+import type { DatabaseGroup } from "../upstream/database_group.ts";
+import type { Failover, SwitchAnnouncer } from "./failover.ts";
+import { promote, type Promoted } from "./promotion.ts";
+import { highestTermOf } from "./suspicion.ts";
+
+/** Longest hold of new writes. */
+const HOLD_MS = 4_000;
+/** Longest wait for the candidate to receive everything once writes are held. */
+const CATCH_UP_MS = 1_500;
+/** Age of a status up to which an instance counts as healthy. */
+const STATUS_VALID_MS = 500;
+/** Log behind the primary up to which a candidate is near enough to begin. */
+const NEAR_BYTES = 1_048_576n;
+
+/** What a switchover needs. */
+export interface SwitchoverOptions {
+  readonly health: Health;
+  readonly control: DatabaseGroup;
+  readonly log: EventLog;
+  readonly failover: Failover;
+  readonly announcer: SwitchAnnouncer;
+}
+
+/** The instance that should lead instead of the present primary; undefined when none should or can. */
+export function wantedPrimary(
+  view: GroupView,
+  now: number,
+): Instance | undefined {
+  const primary = view.instances.find((item) =>
+    item.instance.name === view.primary
+  );
+  if (!primary?.status || primary.failures > 0) return undefined;
+  if (isFencedAhead(view, now)) return primary.instance;
+  const candidates = view.instances.filter((item) =>
+    isFit(view, item, primary, now)
+  );
+  const preferred = candidates.find((item) =>
+    item.instance.name === view.group.preferredPrimary
+  );
+  if (preferred) return preferred.instance;
+  if (!primary.leaving) return undefined;
+  candidates.sort((a, b) =>
+    Number(b.status!.received - a.status!.received) ||
+    (a.instance.name < b.instance.name ? -1 : 1)
+  );
+  return candidates[0]?.instance;
+}
+
+/** Whether an instance was fenced above the primary's term by a proposal that failed; only a new term brings it back. */
+function isFencedAhead(view: GroupView, now: number): boolean {
+  return view.instances.some(({ status, failures, statusAt }) =>
+    status?.role === "fenced" && status.seenTerm > view.term &&
+    failures === 0 && now - statusAt <= STATUS_VALID_MS
+  );
+}
+
+function isFit(
+  view: GroupView,
+  item: InstanceView,
+  primary: InstanceView,
+  now: number,
+): boolean {
+  const { status, usable, statusAt } = item;
+  if (item === primary || !usable || !status) return false;
+  if (status.role !== "replica" || !status.hearsSource) return false;
+  if (status.source !== view.primary || status.seenTerm !== view.term) {
+    return false;
+  }
+  if (now - statusAt > STATUS_VALID_MS) return false;
+  return primary.status!.received - status.received <= NEAR_BYTES;
+}
+
+/** Moves the lead of a group to an instance; undefined when it stayed where it was. */
+export async function switchOver(
+  options: SwitchoverOptions,
+  view: GroupView,
+  wanted: Instance,
+): Promise<Promoted | undefined> {
+  const { log, failover, announcer } = options;
+  const { database } = view.group;
+  const from = view.primary!;
+  const begun = performance.now();
+  log.write(Events.SWITCHOVER_STARTED, { database, from, to: wanted.name });
+  await Promise.all([
+    failover.holdWrites(database, from, HOLD_MS),
+    announcer.hold(database, from, HOLD_MS),
+  ]);
+  const promoted = await moveLead(options, view, wanted);
+  failover.releaseWrites(database);
+  void announcer.release(database);
+  log.write(Events.SWITCHOVER_ENDED, {
+    database,
+    from,
+    to: promoted?.primary.name ?? from,
+    elapsed: Math.round(performance.now() - begun),
+  });
+  return promoted;
+}
+
+async function moveLead(
+  { health, control, log }: SwitchoverOptions,
+  view: GroupView,
+  wanted: Instance,
+): Promise<Promoted | undefined> {
+  const { group, primary } = view;
+  const { database } = group;
+  if (wanted.name !== primary && !await catchUp(health, database, wanted)) {
+    return undefined;
+  }
+  const present = health.view(database);
+  if (!present || present.primary !== primary) return undefined;
+  const result = await promote({
+    group,
+    control,
+    log,
+    term: highestTermOf(present) + 1,
+    preference: (a, b) =>
+      Number(b.name === wanted.name) - Number(a.name === wanted.name),
+  });
+  if (result.isOk()) return result.value;
+  const { message } = result.error;
+  log.write(Events.FAILOVER_ABANDONED, { database, reason: message });
+  return undefined;
+}
+
+/** Waits until the candidate has all of the primary's log; it may still be applying it. */
+async function catchUp(
+  health: Health,
+  database: string,
+  wanted: Instance,
+): Promise<boolean> {
+  const deadline = performance.now() + CATCH_UP_MS;
+  const end = await health.freshPosition(database, deadline);
+  if (end.isErr()) return false;
+  const applied = await health.applied(
+    database,
+    [wanted.name],
+    end.value,
+    deadline,
+  );
+  return applied.isOk();
+}
