--- a/src/plugins/failover/failover_monitor.ts
+++ b/src/plugins/failover/failover_monitor.ts
@@ -9,7 +9,7 @@
 import type { Service } from "../../kernel/kernel.ts";
 import type { Configuration } from "../configuration/configuration.ts";
 import type { Health } from "../health/health.ts";
-import { PauseObserver } from "../health/pause_observer.ts";
+import { PauseObserver } from "../../kernel/pause_observer.ts";
 import type { Membership } from "../membership/membership.ts";
 import type { TableService } from "../table_service/table_service.ts";
 import type { DatabaseGroup } from "../upstream/database_group.ts";
@@ -24,6 +24,8 @@
 const DRAIN_INTERVAL_MS = 5;
 /** Looks in a row without a running statement that count as drained. */
 const DRAINED_LOOKS = 3;
+/** A gap of this length between looks at the clock starts all waiting times anew. */
+const PAUSE_MS = 100;
 
 /** What the monitor needs. */
 export interface FailoverMonitorOptions {
@@ -50,7 +52,10 @@
   readonly #options: FailoverMonitorOptions;
   readonly #groups = new Map<string, GroupFailover>();
   readonly #proposers: Proposers;
-  readonly #pauses = new PauseObserver(() => this.#paused());
+  readonly #pauses = new PauseObserver(
+    PAUSE_MS,
+    () => this.#paused(),
+  );
   #unsubscribe = () => {};
 
   constructor(options: FailoverMonitorOptions) {
--- /dev/null
+++ b/src/plugins/failover/plugin.ts
@@ -0,0 +1,41 @@
+/**
+ * Registers failover.
+ *
+ * @module
+ */
+import { registerPlugin } from "../../kernel/kernel.ts";
+import { FailoverMonitor } from "./failover_monitor.ts";
+import { PeerAnnouncer, serveAnnouncements } from "./peer_announcer.ts";
+
+registerPlugin({
+  name: "failover",
+  needs: [
+    "configuration",
+    "connections",
+    "database_group",
+    "health",
+    "membership",
+    "peers",
+    "table_service",
+  ],
+  create(context) {
+    const { settings: { name }, log } = context;
+    const peers = context.use("peers");
+    const membership = context.use("membership");
+    const connections = context.use("connections");
+    const monitor = new FailoverMonitor({
+      name,
+      configuration: context.use("configuration"),
+      health: context.use("health"),
+      control: context.use("database_group"),
+      membership,
+      tableService: context.use("table_service"),
+      log,
+      outstanding: (database, instance) =>
+        connections.outstanding(database, instance),
+      announcer: new PeerAnnouncer(peers, membership, name),
+    });
+    serveAnnouncements(peers, monitor);
+    return monitor;
+  },
+});
--- a/src/plugins/health/health_monitor.ts
+++ b/src/plugins/health/health_monitor.ts
@@ -18,7 +18,10 @@
 import type { Position } from "../upstream/position.ts";
 import { GroupWatch } from "./group_watch.ts";
 import type { GroupView, Health } from "./health.ts";
-import { PauseObserver } from "./pause_observer.ts";
+import { PauseObserver } from "../../kernel/pause_observer.ts";
+
+/** A gap of this length between looks at the clock starts the counts of failures anew. */
+const PAUSE_MS = 100;
 
 /** What the monitor needs. */
 export interface HealthMonitorOptions {
@@ -33,7 +36,10 @@
   readonly #options: HealthMonitorOptions;
   readonly #watches = new Map<string, GroupWatch>();
   readonly #listeners = new Set<(view: GroupView) => void>();
-  readonly #pauses = new PauseObserver((length) => this.#paused(length));
+  readonly #pauses = new PauseObserver(
+    PAUSE_MS,
+    (length) => this.#paused(length),
+  );
   #unsubscribe = () => {};
 
   constructor(options: HealthMonitorOptions) {
