--- a/src/main.ts
+++ b/src/main.ts
@@ -6,4 +6,4 @@
  */
 import { createCli } from "./commands/cli.ts";
 
-process.exitCode = await createCli().run(process.argv.slice(2));
+await createCli().runExit(process.argv.slice(2));
