Membership by gossip, configuration that follows store and peers, report of a proxy

Purpose: proxies know which others are alive and what each says of itself, the document in force reaches all of them, and a proxy reports what it holds. The kernel gains find(), for services that need not be there.

--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -30,6 +30,8 @@
   readonly log: EventLog;
   /** Gives another plug-in's service; it must stand in `needs`. */
   use<K extends keyof Services>(name: K): Services[K];
+  /** Gives a service that is started at the time of the call, needed or not. */
+  find<K extends keyof Services>(name: K): Services[K] | undefined;
 }
 
 /** A plug-in: a name, the services it needs, and a factory. */
@@ -71,6 +73,11 @@
     return service as Services[K];
   }
 
+  /** Gives a service when it is started. */
+  find<K extends keyof Services>(name: K): Services[K] | undefined {
+    return this.#services.get(name as string) as Services[K] | undefined;
+  }
+
   /** Lets running work end until the deadline, then stops all services in reverse order. */
   async stop(deadline: number): Promise<void> {
     const names = [...this.#services.keys()].reverse();
@@ -106,6 +113,7 @@
         }
         return this.use(other);
       },
+      find: (other) => this.find(other),
     });
     await service.start?.();
     this.#services.set(name, service);
--- /dev/null
+++ b/src/plugins/configuration/document_in_force.ts
@@ -0,0 +1,94 @@
+/**
+ * Holds the revision in force. It only ever moves to a higher number.
+ *
+ * @module
+ */
+import { type EventLog, Events } from "../../kernel/events.ts";
+import type { Environment, Group, Revision } from "../document/document.ts";
+import { contentHash } from "../document/head.ts";
+import { parseDocument } from "../document/parse_document.ts";
+import type { Configuration } from "./configuration.ts";
+
+/** A revision with the text that peers may ask for. */
+export interface RevisionText {
+  readonly number: number;
+  readonly text: string;
+}
+
+/** The document in force in one environment. */
+export class DocumentInForce implements Configuration {
+  readonly #environment: string;
+  readonly #log: EventLog;
+  readonly #listeners = new Set<(revision: Revision) => void>();
+  #revision: Revision | undefined;
+  #text = "";
+  #rejected = 0;
+
+  constructor(environment: string, log: EventLog) {
+    this.#environment = environment;
+    this.#log = log;
+  }
+
+  /** Number of the revision in force; 0 for none. */
+  get number(): number {
+    return this.#revision?.number ?? 0;
+  }
+
+  /** Highest number that was refused as invalid. */
+  get rejected(): number {
+    return this.#rejected;
+  }
+
+  current(): Revision | undefined {
+    return this.#revision;
+  }
+
+  /** The revision in force as text. */
+  text(): RevisionText | undefined {
+    if (!this.#revision) return undefined;
+    return { number: this.#revision.number, text: this.#text };
+  }
+
+  environment(): Environment | undefined {
+    return this.#revision?.document.environments[this.#environment];
+  }
+
+  group(database: string): Group | undefined {
+    return this.environment()?.groups
+      .find((group) => group.database === database);
+  }
+
+  subscribe(listener: (revision: Revision) => void): () => void {
+    this.#listeners.add(listener);
+    if (this.#revision) listener(this.#revision);
+    return () => this.#listeners.delete(listener);
+  }
+
+  offer(number: number, text: string, source: "store" | "peer"): boolean {
+    if (number <= this.number || number <= this.#rejected) return false;
+    const parsed = parseDocument(text);
+    if (parsed.isErr()) return this.#reject(number, parsed.error.message);
+    const document = parsed.value;
+    if (!Object.hasOwn(document.environments, this.#environment)) {
+      const reason = `it describes no environment ${this.#environment}`;
+      return this.#reject(number, reason);
+    }
+    const hash = contentHash(text);
+    const environment = this.#environment;
+    this.#revision = Object.freeze({ environment, number, hash, document });
+    this.#text = text;
+    const kind = source === "peer"
+      ? Events.REVISION_FROM_PEER
+      : Events.REVISION_IN_FORCE;
+    this.#log.write(kind, { revision: number, hash, environment });
+    for (const listener of this.#listeners) listener(this.#revision);
+    return true;
+  }
+
+  #reject(number: number, reason: string): false {
+    this.#rejected = number;
+    const environment = this.#environment;
+    this.#log.write(Events.REVISION_REJECTED, { number, environment, reason });
+    return false;
+  }
+}
--- /dev/null
+++ b/src/plugins/configuration/followed_configuration.ts
@@ -0,0 +1,60 @@
+/**
+ * The configuration of a running proxy: it follows the store and the peers.
+ *
+ * @module
+ */
+import type { Service } from "../../kernel/kernel.ts";
+import type {
+  Membership,
+  RevisionPublisher,
+} from "../membership/membership.ts";
+import type { Peers } from "../peers/peers.ts";
+import { DocumentInForce } from "./document_in_force.ts";
+import { HeadPoller, type HeadPollerOptions } from "./head_poller.ts";
+import { PeerRevisions } from "./peer_revisions.ts";
+import type { EventLog } from "../../kernel/events.ts";
+
+/** Options of the configuration. */
+export interface FollowedConfigurationOptions
+  extends Pick<HeadPollerOptions, "environment" | "table" | "objects"> {
+  readonly membership: Membership & RevisionPublisher;
+  readonly peers: Peers;
+  readonly log: EventLog;
+}
+
+/** Follows the store and the peers. */
+export class FollowedConfiguration extends DocumentInForce implements Service {
+  readonly #membership: Membership & RevisionPublisher;
+  readonly #poller: HeadPoller;
+  readonly #peerRevisions: PeerRevisions;
+
+  constructor(options: FollowedConfigurationOptions) {
+    super(options.environment, options.log);
+    const { environment, table, objects, membership, peers } = options;
+    this.#membership = membership;
+    this.#poller = new HeadPoller({
+      environment,
+      table,
+      objects,
+      document: this,
+      proxies: () => membership.alive().length,
+    });
+    this.#peerRevisions = new PeerRevisions({
+      peers,
+      membership,
+      document: this,
+    });
+  }
+
+  /** Resolves after the first read of the store, whether it gave a document or not. */
+  async start(): Promise<void> {
+    this.subscribe(({ number }) => this.#membership.publishRevision(number));
+    this.#peerRevisions.start();
+    await this.#poller.start();
+  }
+
+  async stop(): Promise<void> {
+    await this.#poller.stop();
+    await this.#peerRevisions.stop();
+  }
+}
--- /dev/null
+++ b/src/plugins/configuration/peer_revisions.ts
@@ -0,0 +1,111 @@
+/**
+ * Takes a newer revision from a peer that says it has one, and gives the own
+ * one to peers that ask.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { z } from "zod";
+import type { Membership } from "../membership/membership.ts";
+import type { PeerProcedure, Peers } from "../peers/peers.ts";
+import { contentHash } from "../document/head.ts";
+import { DOCUMENT_LIMIT } from "../document/parse_document.ts";
+import type { DocumentInForce } from "./document_in_force.ts";
+
+const FETCH_TIMEOUT_MS = 2_000;
+const RETRY_PAUSE_MS = 200;
+
+/** A revision as a peer gives it. */
+interface GivenRevision {
+  readonly number: number;
+  readonly hash: string;
+  readonly text: string;
+}
+
+/** Asks for the revision in force when it is above a number. */
+export const revisionAbove: PeerProcedure<
+  { above: number },
+  GivenRevision | null
+> = {
+  name: "revision",
+  input: z.object({ above: z.number().int().min(0) }),
+  output: z.object({
+    number: z.number().int().min(1),
+    hash: z.string(),
+    text: z.string().max(DOCUMENT_LIMIT),
+  }).nullable(),
+};
+
+/** Options of the exchange with peers. */
+export interface PeerRevisionsOptions {
+  readonly peers: Peers;
+  readonly membership: Membership;
+  readonly document: DocumentInForce;
+}
+
+/** Task that follows the revisions of peers. */
+export class PeerRevisions {
+  readonly #options: PeerRevisionsOptions;
+  #wake: () => void = () => undefined;
+  #unsubscribe: () => void = () => undefined;
+  #task: Promise<void> | undefined;
+  #stopped = false;
+
+  constructor(options: PeerRevisionsOptions) {
+    this.#options = options;
+  }
+
+  /** Answers peers and begins to follow them. */
+  start(): void {
+    const { peers, membership } = this.#options;
+    peers.serve(revisionAbove, ({ above }) => this.#give(above));
+    this.#unsubscribe = membership.subscribe(() => this.#wake());
+    this.#task = this.#run();
+  }
+
+  /** Ends the task. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    this.#unsubscribe();
+    this.#wake();
+    await this.#task;
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#stopped) {
+      const changed = new Promise<void>((resolve) => this.#wake = resolve);
+      const endpoint = this.#chooseEndpoint();
+      if (endpoint === undefined) await changed;
+      else if (!await this.#take(endpoint)) await sleep(RETRY_PAUSE_MS);
+    }
+  }
+
+  /** One of the proxies that say they have a revision above the one here. */
+  #chooseEndpoint(): string | undefined {
+    const { membership, document } = this.#options;
+    const known = Math.max(document.number, document.rejected);
+    const ahead = membership.members()
+      .filter(({ liveness, state }) =>
+        liveness !== "gone" && state.revision > known
+      );
+    const chosen = ahead[Math.floor(Math.random() * ahead.length)];
+    return chosen?.state.endpoint;
+  }
+
+  async #take(endpoint: string): Promise<boolean> {
+    const { peers, document } = this.#options;
+    const above = document.number;
+    const answer = await peers
+      .call(endpoint, revisionAbove, { above }, FETCH_TIMEOUT_MS);
+    if (answer.isErr() || answer.value === null) return false;
+    const { number, hash, text } = answer.value;
+    if (contentHash(text) !== hash) return false;
+    return document.offer(number, text, "peer");
+  }
+
+  #give(above: number): GivenRevision | null {
+    const held = this.#options.document.text();
+    if (!held || held.number <= above) return null;
+    return { ...held, hash: contentHash(held.text) };
+  }
+}
--- a/src/plugins/membership/membership.ts
+++ b/src/plugins/membership/membership.ts
@@ -51,8 +51,14 @@
   subscribe(listener: () => void): () => void;
 }
 
+/** Takes what the configuration has in force, for the peers to hear. */
+export interface RevisionPublisher {
+  /** Sets the revision that this proxy says it has in force. */
+  publishRevision(revision: number): void;
+}
+
 declare module "../../kernel/kernel.ts" {
   interface Services {
-    membership: Membership;
+    membership: Membership & RevisionPublisher;
   }
 }
--- /dev/null
+++ b/src/plugins/membership/plugin.ts
@@ -0,0 +1,20 @@
+/**
+ * Registers the membership.
+ *
+ * @module
+ */
+import { registerPlugin } from "../../kernel/kernel.ts";
+import { GossipMembership } from "./gossip_membership.ts";
+
+registerPlugin({
+  name: "membership",
+  needs: ["peers", "host_list"],
+  create: ({ settings, log, use }) =>
+    new GossipMembership({
+      name: settings.name,
+      zone: settings.zone,
+      peers: use("peers"),
+      hostList: use("host_list"),
+      log,
+    }),
+});
--- /dev/null
+++ b/src/plugins/membership/shuffle.ts
@@ -0,0 +1,13 @@
+/**
+ * Random order.
+ *
+ * @module
+ */
+
+/** The items in random order. */
+export function shuffle<T>(items: readonly T[]): T[] {
+  return items
+    .map((item) => ({ item, order: Math.random() }))
+    .sort((a, b) => a.order - b.order)
+    .map(({ item }) => item);
+}
--- /dev/null
+++ b/src/plugins/status/proxy_status.ts
@@ -0,0 +1,115 @@
+/**
+ * Makes a proxy's report from the services that it runs.
+ *
+ * @module
+ */
+import type { Service } from "../../kernel/kernel.ts";
+import type { Configuration } from "../configuration/configuration.ts";
+import type { Connections } from "../connections/connections.ts";
+import type { GroupView, Health } from "../health/health.ts";
+import type { Membership } from "../membership/membership.ts";
+import type { Peers } from "../peers/peers.ts";
+import {
+  type GroupReport,
+  type ProxyReport,
+  statusProcedure,
+} from "./status.ts";
+
+/** Options of the report. */
+export interface ProxyStatusOptions {
+  readonly name: string;
+  readonly zone: string;
+  readonly environment: string;
+  readonly peers: Peers;
+  readonly configuration: Configuration;
+  readonly membership: Membership;
+  /** Undefined while it is not started. */
+  readonly health: () => Health | undefined;
+  /** Undefined while it is not started. */
+  readonly connections: () => Connections | undefined;
+}
+
+/** Reports to whoever asks over the peers' port. */
+export class ProxyStatus implements Service {
+  readonly #options: ProxyStatusOptions;
+
+  constructor(options: ProxyStatusOptions) {
+    this.#options = options;
+  }
+
+  start(): Promise<void> {
+    this.#options.peers.serve(statusProcedure, () => this.report());
+    return Promise.resolve();
+  }
+
+  /** The report of this moment. */
+  report(): ProxyReport {
+    const { name, zone, environment, configuration } = this.#options;
+    const revision = configuration.current();
+    return {
+      name,
+      zone,
+      environment,
+      revision: revision?.number ?? 0,
+      hash: revision?.hash ?? null,
+      members: this.#members(),
+      groups: this.#groups(),
+      connections: this.#connections(),
+    };
+  }
+
+  #members(): ProxyReport["members"] {
+    return this.#options.membership.members()
+      .map(({ state, liveness }) => ({
+        name: state.name,
+        zone: state.zone,
+        liveness,
+        leaving: state.leaving,
+        revision: state.revision,
+      }));
+  }
+
+  #groups(): GroupReport[] {
+    const health = this.#options.health();
+    if (!health) return [];
+    const groups = this.#options.configuration.environment()?.groups ?? [];
+    return groups
+      .map((group) => health.view(group.database))
+      .filter((view) => view !== undefined)
+      .map((view) => describeGroup(view, health));
+  }
+
+  #connections(): ProxyReport["connections"] {
+    const use = this.#options.connections()?.use() ?? [];
+    return use.map(({ database, instance, open, busy, waiting, share }) => ({
+      database,
+      instance,
+      open,
+      busy,
+      waiting,
+      share,
+    }));
+  }
+}
+
+function describeGroup(view: GroupView, health: Health): GroupReport {
+  const { database } = view.group;
+  return {
+    database,
+    primary: view.primary ?? null,
+    term: view.term,
+    receiveLagMs: view.receiveLagMs,
+    instances: view.instances.map((item) => {
+      const age = health.age(database, item.instance.name);
+      return {
+        name: item.instance.name,
+        zone: item.instance.zone,
+        role: item.status?.role,
+        usable: item.usable,
+        leaving: item.leaving,
+        slow: item.slow,
+        ageMs: Number.isFinite(age) ? Math.round(age) : null,
+      };
+    }),
+  };
+}
