Command line for operators, and tests of the configuration

A failure's code gives the exit code. The report of a proxy is a plug-in, status. Settings of commands go through the same check as the proxy's.

--- /dev/null
+++ b/src/commands/account_hash.ts
@@ -0,0 +1,60 @@
+/**
+ * Command that hashes the password of a caller's account.
+ *
+ * @module
+ */
+import { createInterface } from "node:readline/promises";
+import { Writable } from "node:stream";
+import { text } from "node:stream/consumers";
+import { Command } from "clipanion";
+import { err, ok, type Result } from "neverthrow";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../kernel/result_codes.ts";
+import { hashPassword } from "../plugins/document/password.ts";
+import { OperatorCommand } from "./operator_command.ts";
+
+/** `marjoramshed account hash`. */
+export class AccountHashCommand extends OperatorCommand {
+  static override paths = [["account", "hash"]];
+  static override usage = Command.Usage({
+    category: "Account",
+    description: "Hash a password for the document",
+    details: `
+      Reads the password from standard input, or asks for it on a terminal
+      without showing it. Put the line that it prints under \`password\`.
+    `,
+    examples: [
+      ["Type the password", "$0 account hash"],
+      ["Take it from a file", "$0 account hash < password.txt"],
+    ],
+  });
+
+  protected async run(): Promise<Result<string, Failure>> {
+    const password = await this.#readPassword();
+    if (password !== "") return ok(await hashPassword(password));
+    return err(createFailure(
+      ResultCodes.SETTING_INVALID,
+      "password: expected at least one character, found nothing",
+    ));
+  }
+
+  async #readPassword(): Promise<string> {
+    const { stdin, stderr } = this.context;
+    const terminal = "isTTY" in stdin && stdin.isTTY === true;
+    if (!terminal) return (await text(stdin)).replace(/\r?\n$/, "");
+    stderr.write("password: ");
+    const silent = new Writable({ write: (_chunk, _encoding, done) => done() });
+    const lines = createInterface({
+      input: stdin,
+      output: silent,
+      terminal: true,
+    });
+    const password = await lines.question("");
+    lines.close();
+    stderr.write("\n");
+    return password;
+  }
+}
--- /dev/null
+++ b/src/commands/document_queries.ts
@@ -0,0 +1,214 @@
+/**
+ * Commands that look at documents: validate, diff, history and show.
+ *
+ * @module
+ */
+import { Command, Option } from "clipanion";
+import { err, ok, okAsync, type Result, type ResultAsync } from "neverthrow";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../kernel/result_codes.ts";
+import {
+  type Change,
+  diffDocuments,
+  formatChange,
+} from "../plugins/document/diff_documents.ts";
+import type { Document } from "../plugins/document/document.ts";
+import { parseDocument } from "../plugins/document/parse_document.ts";
+import type { Revisions } from "../plugins/document/revisions.ts";
+import { readDocumentFile } from "./document_file.ts";
+import { OperatorCommand } from "./operator_command.ts";
+import { PlatformCommand } from "./platform_command.ts";
+import { formatTable } from "./table.ts";
+
+/** `marjoramshed document validate`. */
+export class DocumentValidateCommand extends OperatorCommand {
+  static override paths = [["document", "validate"]];
+  static override usage = Command.Usage({
+    category: "Document",
+    description: "Check documents without the platform",
+    details: `
+      Names line, path, what was expected and what was found, and the nearest
+      known key for an unknown one.
+    `,
+    examples: [
+      ["Check a document", "$0 document validate swap-ledger.yaml"],
+      ["Check standard input", "$0 document validate - < swap-ledger.yaml"],
+    ],
+  });
+
+  files = Option.Rest({ name: "FILE", required: 1 });
+
+  protected async run(): Promise<Result<string, Failure>> {
+    const lines: string[] = [];
+    for (const file of this.files) {
+      const text = await readDocumentFile(file, this.context.stdin);
+      if (text.isErr()) return err(text.error);
+      const parsed = parseDocument(text.value);
+      if (parsed.isErr()) {
+        const { error } = parsed;
+        return err({ ...error, message: `${file}: ${error.message}` });
+      }
+      lines.push(`${file}: ${describeDocument(parsed.value)}`);
+    }
+    return ok(lines.join("\n"));
+  }
+}
+
+/** `marjoramshed document diff`. */
+export class DocumentDiffCommand extends PlatformCommand {
+  static override paths = [["document", "diff"]];
+  static override usage = Command.Usage({
+    category: "Document",
+    description: "Show what a put or a promotion would change",
+    details: `
+      With a file: the document in force in \`--to\` against the file. Without:
+      what a promotion from \`--from\` to \`--to\` would change. Durations are
+      in ms, defaults are filled in, hashes of passwords are hidden.
+    `,
+    examples: [
+      ["What would a promotion change?", "$0 document diff"],
+      [
+        "What would a put on trial change?",
+        "$0 document diff swap-ledger.yaml --to trial",
+      ],
+    ],
+  });
+
+  file = Option.String({ name: "FILE", required: false });
+  from = Option.String("--from", "trial", {
+    description: "Environment to take the new document from; default trial",
+  });
+  to = Option.String("--to", "production", {
+    description: "Environment to compare with; default production",
+  });
+
+  protected run(): Promise<Result<string, Failure>> {
+    return this.withRevisions(async (revisions) => {
+      const after = await this.#newDocument(revisions);
+      if (after.isErr()) return err(after.error);
+      const before = await documentInForce(revisions, this.to);
+      return before.map((found) =>
+        this.#describe(diffDocuments(found, after.value))
+      );
+    });
+  }
+
+  async #newDocument(
+    revisions: Revisions,
+  ): Promise<Result<Document, Failure>> {
+    if (this.file === undefined) {
+      return await revisions.show(this.from).map((found) => found.document);
+    }
+    const text = await readDocumentFile(this.file, this.context.stdin);
+    return text.andThen(parseDocument);
+  }
+
+  #describe(changes: readonly Change[]): string {
+    if (this.json) return JSON.stringify(changes);
+    if (changes.length === 0) return "no difference";
+    return changes.map(formatChange).join("\n");
+  }
+}
+
+/** `marjoramshed document history`. */
+export class DocumentHistoryCommand extends PlatformCommand {
+  static override paths = [["document", "history"]];
+  static override usage = Command.Usage({
+    category: "Document",
+    description: "List the latest revisions of an environment",
+    examples: [[
+      "The last five of production",
+      "$0 document history --environment production --count 5",
+    ]],
+  });
+
+  environment = Option.String("--environment", "production", {
+    description: "Environment; default production",
+  });
+  count = Option.String("--count", "20", {
+    description: "Most revisions to list; default 20",
+  });
+
+  protected async run(): Promise<Result<string, Failure>> {
+    const count = wholeNumber("--count", this.count);
+    if (count.isErr()) return err(count.error);
+    return await this.withRevisions((revisions) =>
+      revisions.history(this.environment, count.value).map((heads) => {
+        if (this.json) return JSON.stringify(heads);
+        const rows = heads.map((head) => [
+          String(head.number),
+          head.time,
+          head.operator,
+          head.operation,
+          head.hash.slice(0, 12),
+        ]);
+        return formatTable(
+          ["REVISION", "TIME", "OPERATOR", "OPERATION", "HASH"],
+          rows,
+        );
+      })
+    );
+  }
+}
+
+/** `marjoramshed document show`. */
+export class DocumentShowCommand extends PlatformCommand {
+  static override paths = [["document", "show"]];
+  static override usage = Command.Usage({
+    category: "Document",
+    description: "Print an accepted document",
+    examples: [
+      ["The one in force in production", "$0 document show"],
+      ["Revision 3 of trial", "$0 document show 3 --environment trial"],
+    ],
+  });
+
+  number = Option.String({ name: "REVISION", required: false });
+  environment = Option.String("--environment", "production", {
+    description: "Environment; default production",
+  });
+
+  protected async run(): Promise<Result<string, Failure>> {
+    const number = this.number === undefined
+      ? ok(undefined)
+      : wholeNumber("REVISION", this.number);
+    if (number.isErr()) return err(number.error);
+    return await this.withRevisions((revisions) =>
+      revisions.show(this.environment, number.value).map(({ head, text }) =>
+        this.json ? JSON.stringify({ ...head, text }) : text
+      )
+    );
+  }
+}
+
+/** The document in force; undefined before the first. */
+function documentInForce(
+  revisions: Revisions,
+  environment: string,
+): ResultAsync<Document | undefined, Failure> {
+  return revisions.head(environment).andThen((head) =>
+    head
+      ? revisions.show(environment).map((found) => found.document)
+      : okAsync(undefined)
+  );
+}
+
+function wholeNumber(name: string, text: string): Result<number, Failure> {
+  const number = Number(text);
+  if (Number.isSafeInteger(number) && number > 0) return ok(number);
+  return err(createFailure(
+    ResultCodes.SETTING_INVALID,
+    `${name}: expected a whole number above 0, found ${JSON.stringify(text)}`,
+  ));
+}
+
+function describeDocument(document: Document): string {
+  const environments = Object.entries(document.environments)
+    .map(([name, { groups, proxies }]) =>
+      `${name} with ${groups.length} groups and ${proxies.length} proxies`
+    );
+  return `valid: ${document.service}, ${environments.join(", ")}`;
+}
--- /dev/null
+++ b/src/commands/operator_command.ts
@@ -0,0 +1,60 @@
+/**
+ * What all operators' commands share: output on standard output, a failure with
+ * its code on standard error, and the exit code that belongs to it.
+ *
+ * @module
+ */
+import { Command, Option } from "clipanion";
+import type { Result } from "neverthrow";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../kernel/result_codes.ts";
+
+/** A command whose result is a text or a failure. */
+export abstract class OperatorCommand extends Command {
+  /** Does the work; gives the text to print. */
+  protected abstract run(): Promise<Result<string, Failure>>;
+
+  async execute(): Promise<number> {
+    const result = await this.run().catch(describeUnexpected);
+    if (!(isResult(result))) return this.#fail(result);
+    if (result.isErr()) return this.#fail(result.error);
+    this.context.stdout.write(withLineEnd(result.value));
+    return 0;
+  }
+
+  #fail(failure: Failure): number {
+    const { code, message, detail, hint } = failure;
+    const lines = [
+      `marjoramshed: ${message} (code ${code.number}, ${code.name})`,
+      ...(detail ? [`detail: ${detail}`] : []),
+      ...(hint ? [`hint: ${hint}`] : []),
+    ];
+    this.context.stderr.write(lines.join("\n") + "\n");
+    return code.exitCode;
+  }
+}
+
+/** A command that can print JSON. */
+export abstract class ReportCommand extends OperatorCommand {
+  json = Option.Boolean("--json", false, {
+    description: "Print JSON in place of text",
+  });
+}
+
+function isResult(
+  value: Result<string, Failure> | Failure,
+): value is Result<string, Failure> {
+  return "isErr" in value;
+}
+
+function describeUnexpected(error: unknown): Failure {
+  const message = error instanceof Error ? error.message : String(error);
+  return createFailure(ResultCodes.INTERNAL, message);
+}
+
+function withLineEnd(text: string): string {
+  return text === "" || text.endsWith("\n") ? text : text + "\n";
+}
--- /dev/null
+++ b/src/commands/platform_command.ts
@@ -0,0 +1,84 @@
+/**
+ * Commands that speak to the platform: their settings and clients.
+ *
+ * @module
+ */
+import { Option } from "clipanion";
+import type { Result } from "neverthrow";
+import { createEventLog } from "../kernel/events.ts";
+import type { Failure } from "../kernel/result_codes.ts";
+import { checkSettings, settingsSchema } from "../kernel/settings.ts";
+import { Revisions } from "../plugins/document/revisions.ts";
+import { S3Objects } from "../plugins/object_store/s3_objects.ts";
+import { DynamoTable } from "../plugins/table_service/dynamo_table.ts";
+import { ReportCommand } from "./operator_command.ts";
+
+const platformSchema = settingsSchema.pick({
+  tableService: true,
+  table: true,
+  objectStore: true,
+  bucket: true,
+  platformKey: true,
+  platformSecret: true,
+});
+
+/** A command that reads or changes accepted documents. */
+export abstract class PlatformCommand extends ReportCommand {
+  tableService = Option.String("--table-service", {
+    description: "URL of the table service",
+  });
+  table = Option.String("--table", {
+    description: "Table that holds heads and group records",
+  });
+  objectStore = Option.String("--object-store", {
+    description: "URL of the object store",
+  });
+  bucket = Option.String("--bucket", {
+    description: "Bucket that holds the document's revisions",
+  });
+  platformKey = Option.String("--platform-key", {
+    description: "Access key of the platform",
+  });
+  platformSecret = Option.String("--platform-secret", {
+    description: "Secret of the platform",
+  });
+
+  /** Works with the accepted documents and closes the clients afterwards. */
+  protected async withRevisions(
+    work: (revisions: Revisions) => PromiseLike<Result<string, Failure>>,
+  ): Promise<Result<string, Failure>> {
+    const { tableService, table, objectStore, bucket } = this;
+    const { platformKey, platformSecret } = this;
+    const given = {
+      tableService,
+      table,
+      objectStore,
+      bucket,
+      platformKey,
+      platformSecret,
+    };
+    const checked = checkSettings(platformSchema, given, process.env);
+    if (checked.isErr()) return checked.map(() => "");
+    const settings = checked.value;
+    const access = {
+      accessKey: settings.platformKey,
+      secret: settings.platformSecret,
+      log: createEventLog("fatal", {}),
+    };
+    const rows = new DynamoTable({
+      ...access,
+      url: settings.tableService,
+      table: settings.table,
+    });
+    const objects = new S3Objects({
+      ...access,
+      url: settings.objectStore,
+      bucket: settings.bucket,
+    });
+    try {
+      return await work(new Revisions({ table: rows, objects }));
+    } finally {
+      await Promise.all([rows.stop(), objects.stop()]);
+    }
+  }
+}
--- a/src/commands/proxy.ts
+++ b/src/commands/proxy.ts
@@ -27,7 +27,7 @@
     `,
     examples: [[
       "Serve in zone zagreb-a",
-      "$0 proxy --name zagreb-1 --zone zagreb-a --peer-key \"$KEY\" " +
+      '$0 proxy --name zagreb-1 --zone zagreb-a --peer-key "$KEY" ' +
       "--table-service http://10.0.0.2:8000 --object-store http://10.0.0.2:9000 " +
       "--host-list http://10.0.0.2:7000",
     ]],
@@ -39,7 +39,9 @@
     const settings = resolveSettings(this.args, process.env);
     if (settings.isErr()) {
       const { code, message } = settings.error;
-      this.context.stderr.write(`marjoramshed: ${message} (code ${code.number})\n`);
+      this.context.stderr.write(
+        `marjoramshed: ${message} (code ${code.number})\n`,
+      );
       return code.exitCode;
     }
     const { name, zone, logLevel } = settings.value;
@@ -47,7 +49,9 @@
     const kernel = new Kernel(settings.value, log);
     const stopped = stopOnSignal(kernel, settings.value, log);
     await kernel.start(["failover", "callers", "membership", "metrics"]);
-    this.context.stdout.write(JSON.stringify(describe(kernel, settings.value)) + "\n");
+    this.context.stdout.write(
+      JSON.stringify(describe(kernel, settings.value)) + "\n",
+    );
     log.write(Events.STARTED, describe(kernel, settings.value));
     await stopped;
     return 0;
--- /dev/null
+++ b/src/commands/status_collection.ts
@@ -0,0 +1,112 @@
+/**
+ * Asks every listed proxy for its report. What was not heard is said to be not
+ * heard; nothing is taken from what another proxy believes of it.
+ *
+ * @module
+ */
+import type { Head } from "../plugins/document/head.ts";
+import type { Host } from "../plugins/host_list/host_list.ts";
+import type { PeerClient } from "../plugins/peers/peer_client.ts";
+import {
+  type GroupReport,
+  type ProxyReport,
+  statusProcedure,
+} from "../plugins/status/status.ts";
+
+const ASKED_AT_ONCE = 64;
+const REPORT_TIMEOUT_MS = 2_000;
+
+/** What is known of one listed proxy. */
+export interface ProxyStatusLine {
+  readonly name: string;
+  readonly zone: string;
+  readonly state: Host["state"];
+  readonly heard: boolean;
+  /** Only when heard; 0 for none. */
+  readonly revision?: number;
+  /** Only when heard and a revision is in force. */
+  readonly hash?: string;
+  /** Why it was not heard. */
+  readonly reason?: string;
+}
+
+/** A group as one proxy sees it. */
+export interface GroupStatusLine extends GroupReport {
+  /** The proxy that reported it. */
+  readonly reportedBy: string;
+}
+
+/** The state of an environment. */
+export interface EnvironmentStatus {
+  /** The head in the table service; undefined when it was not read. */
+  readonly accepted?: Pick<Head, "environment" | "number" | "hash">;
+  readonly proxies: readonly ProxyStatusLine[];
+  readonly groups: readonly GroupStatusLine[];
+}
+
+interface Answer {
+  readonly line: ProxyStatusLine;
+  readonly report?: ProxyReport;
+}
+
+/** Asks all listed proxies. */
+export async function collectStatus(
+  hosts: readonly Host[],
+  client: PeerClient,
+): Promise<EnvironmentStatus> {
+  const proxies = hosts.filter((host) => host.kind === "proxy");
+  const answers: Answer[] = [];
+  for (let first = 0; first < proxies.length; first += ASKED_AT_ONCE) {
+    const some = proxies.slice(first, first + ASKED_AT_ONCE);
+    answers.push(...await Promise.all(some.map((host) => ask(host, client))));
+  }
+  const reports = answers
+    .map((answer) => answer.report)
+    .filter((report) => report !== undefined);
+  return {
+    proxies: answers.map((answer) => answer.line),
+    groups: chooseGroups(reports),
+  };
+}
+
+async function ask(host: Host, client: PeerClient): Promise<Answer> {
+  const { name, zone, state, endpoint } = host;
+  const answer = await client
+    .call(endpoint, statusProcedure, {}, REPORT_TIMEOUT_MS);
+  if (answer.isErr()) {
+    const { message, detail } = answer.error;
+    const reason = detail ? `${message}: ${detail}` : message;
+    return { line: { name, zone, state, heard: false, reason } };
+  }
+  const report = answer.value;
+  if (report.name !== name) {
+    const reason = `${endpoint} is ${report.name}`;
+    return { line: { name, zone, state, heard: false, reason } };
+  }
+  const { revision, hash } = report;
+  const line = {
+    ...{ name, zone, state, heard: true, revision },
+    ...(hash === null ? {} : { hash }),
+  };
+  return { line, report };
+}
+
+/** For each database the view of the highest term; of equal ones the first that knows a primary. */
+function chooseGroups(
+  reports: readonly ProxyReport[],
+): readonly GroupStatusLine[] {
+  const chosen = new Map<string, GroupStatusLine>();
+  for (const report of reports) {
+    for (const group of report.groups) {
+      const known = chosen.get(group.database);
+      if (known && !isBetter(group, known)) continue;
+      chosen.set(group.database, { ...group, reportedBy: report.name });
+    }
+  }
+  return [...chosen.values()];
+}
+
+function isBetter(group: GroupReport, known: GroupReport): boolean {
+  if (group.term !== known.term) return group.term > known.term;
+  return known.primary === null && group.primary !== null;
+}
--- /dev/null
+++ b/src/commands/status_command.ts
@@ -0,0 +1,161 @@
+/**
+ * Command that shows what is in force everywhere.
+ *
+ * @module
+ */
+import { Command, Option } from "clipanion";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import { Agent } from "undici";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../kernel/result_codes.ts";
+import { checkSettings, settingsSchema } from "../kernel/settings.ts";
+import type { Host } from "../plugins/host_list/host_list.ts";
+import { readHosts } from "../plugins/host_list/http_host_list.ts";
+import { resolvePeerCertificate } from "../plugins/peers/peer_certificate.ts";
+import { PeerClient } from "../plugins/peers/peer_client.ts";
+import { SocketTraffic } from "../plugins/peers/socket_traffic.ts";
+import { resolvePeerKeys } from "../plugins/peers/trpc_peers.ts";
+import { ReportCommand } from "./operator_command.ts";
+import {
+  collectStatus,
+  type EnvironmentStatus,
+  type GroupStatusLine,
+  type ProxyStatusLine,
+} from "./status_collection.ts";
+import { formatTable } from "./table.ts";
+
+const HOST_LIST_TIMEOUT_MS = 2_000;
+
+const statusSchema = settingsSchema.pick({
+  hostList: true,
+  peerKey: true,
+  peerKeyBefore: true,
+  peerCertificate: true,
+  peerCertificateKey: true,
+  peerAuthority: true,
+});
+
+/** `marjoramshed status`. */
+export class StatusCommand extends ReportCommand {
+  static override paths = [["status"]];
+  static override usage = Command.Usage({
+    category: "Status",
+    description: "Show what is in force on every proxy, and the groups",
+    details: `
+      Asks each proxy of the host list for the revision in force; one that does
+      not answer is shown as not heard. Groups come from the answer with the
+      highest term: the primary, and for each instance its role and the upper
+      bound of the age of its data.
+    `,
+    examples: [
+      [
+        "As a table",
+        '$0 status --host-list http://10.0.0.2:7000 --peer-key "$KEY"',
+      ],
+      ["As JSON, settings from the environment", "$0 status --json"],
+    ],
+  });
+
+  hostList = Option.String("--host-list", {
+    description: "URL of the host list",
+  });
+  peerKey = Option.String("--peer-key", {
+    description: "Shared key of the proxies",
+  });
+  peerKeyBefore = Option.String("--peer-key-before", {
+    description: "The shared key before this one",
+  });
+  peerCertificate = Option.String("--peer-certificate", {
+    description: "Certificate for peers, a PEM file",
+  });
+  peerCertificateKey = Option.String("--peer-certificate-key", {
+    description: "Key of the certificate, a PEM file",
+  });
+  peerAuthority = Option.String("--peer-authority", {
+    description: "Authority of the proxies' certificates, a PEM file",
+  });
+
+  protected async run(): Promise<Result<string, Failure>> {
+    const { hostList, peerKey, peerKeyBefore } = this;
+    const { peerCertificate, peerCertificateKey, peerAuthority } = this;
+    const checked = checkSettings(statusSchema, {
+      ...{ hostList, peerKey, peerKeyBefore },
+      ...{ peerCertificate, peerCertificateKey, peerAuthority },
+    }, process.env);
+    if (checked.isErr()) return err(checked.error);
+    const hosts = await listHosts(checked.value.hostList);
+    if (hosts.isErr()) return err(hosts.error);
+    const certificate = resolvePeerCertificate(checked.value);
+    const client = new PeerClient({
+      keys: resolvePeerKeys(checked.value),
+      traffic: new SocketTraffic(),
+      certificate,
+    });
+    try {
+      return this.#describe(await collectStatus(hosts.value, client));
+    } finally {
+      await client.close();
+      certificate?.close();
+    }
+  }
+
+  #describe(status: EnvironmentStatus): Result<string, Failure> {
+    if (this.json) return ok(JSON.stringify(status));
+    return ok([
+      formatProxies(status.proxies),
+      "",
+      formatGroups(status.groups),
+    ].join("\n"));
+  }
+}
+
+function listHosts(url: string): ResultAsync<readonly Host[], Failure> {
+  const agent = new Agent();
+  const signal = AbortSignal.timeout(HOST_LIST_TIMEOUT_MS);
+  const reading = readHosts(url, agent, signal)
+    .finally(() => agent.destroy());
+  return ResultAsync.fromPromise(reading, (error) =>
+    createFailure(
+      ResultCodes.HOST_LIST_UNAVAILABLE,
+      `the host list at ${url} gave no answer`,
+      { detail: error instanceof Error ? error.message : String(error) },
+    ));
+}
+
+function formatProxies(lines: readonly ProxyStatusLine[]): string {
+  const rows = lines.map((line) => [
+    line.name,
+    line.zone,
+    line.state,
+    line.heard ? String(line.revision || "none") : "not heard",
+    line.hash?.slice(0, 12) ?? line.reason ?? "",
+  ]);
+  return formatTable(["PROXY", "ZONE", "LISTED", "REVISION", "HASH"], rows);
+}
+
+function formatGroups(groups: readonly GroupStatusLine[]): string {
+  if (groups.length === 0) return "no group was reported";
+  const rows = groups.flatMap((group) =>
+    group.instances.map((instance) => [
+      group.database,
+      String(group.term),
+      instance.name,
+      instance.zone,
+      instance.name === group.primary ? "primary" : instance.role ?? "unknown",
+      instance.ageMs === null ? "unknown" : `${instance.ageMs} ms`,
+      [
+        instance.usable ? "" : "not usable",
+        instance.leaving ? "leaving" : "",
+        instance.slow ? "slow" : "",
+      ].filter((note) => note !== "").join(", "),
+      group.reportedBy,
+    ])
+  );
+  return formatTable([
+    ...["DATABASE", "TERM", "INSTANCE", "ZONE", "ROLE", "AGE", "NOTES"],
+    "REPORTED BY",
+  ], rows);
+}
--- /dev/null
+++ b/src/commands/table.ts
@@ -0,0 +1,25 @@
+/**
+ * Plain tables for terminals.
+ *
+ * @module
+ */
+
+const COLUMN_GAP = "  ";
+
+/** Aligns rows under their titles. */
+export function formatTable(
+  titles: readonly string[],
+  rows: readonly (readonly string[])[],
+): string {
+  const all = [titles, ...rows];
+  const widths = titles.map((_, column) =>
+    Math.max(...all.map((row) => row[column]?.length ?? 0))
+  );
+  return all
+    .map((row) =>
+      row.map((cell, column) => cell.padEnd(widths[column] ?? 0))
+        .join(COLUMN_GAP)
+        .trimEnd()
+    )
+    .join("\n");
+}
--- a/src/kernel/settings.ts
+++ b/src/kernel/settings.ts
@@ -96,13 +96,24 @@
   const keys = Object.keys(settingsSchema.shape);
   const flags = readFlags(args, keys);
   if (flags.isErr()) return err(flags.error);
+  const given = Object.fromEntries(
+    keys.map((key) => [key, flags.value[flagOf(key).slice(2)]]),
+  );
+  return checkSettings(settingsSchema, given, environment);
+}
+
+/** Checks given settings, with the environment for those that are missing, by a schema whose keys are settings. */
+export function checkSettings<Shape extends z.ZodRawShape>(
+  schema: z.ZodObject<Shape>,
+  given: Readonly<Record<string, string | undefined>>,
+  environment: Readonly<Record<string, string | undefined>>,
+): Result<Readonly<z.infer<z.ZodObject<Shape>>>, Failure> {
   const raw: Record<string, string> = {};
-  for (const key of keys) {
-    const value = flags.value[flagOf(key).slice(2)] ??
-      environment[variableOf(key)];
+  for (const key of Object.keys(schema.shape)) {
+    const value = given[key] ?? environment[variableOf(key)];
     if (value !== undefined) raw[key] = value;
   }
-  const parsed = settingsSchema.safeParse(raw);
+  const parsed = schema.safeParse(raw);
   if (parsed.success) return ok(Object.freeze(parsed.data));
   const issue = parsed.error.issues[0];
   const key = String(issue?.path[0] ?? "");
--- a/src/plugins/host_list/http_host_list.ts
+++ b/src/plugins/host_list/http_host_list.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import { Agent, request } from "undici";
+import { Agent, type Dispatcher, request } from "undici";
 import { z } from "zod";
 import { type EventLog, Events } from "../../kernel/events.ts";
 import type { Service } from "../../kernel/kernel.ts";
@@ -48,7 +48,7 @@
   #polling: Promise<void> = Promise.resolve();
 
   constructor(options: HttpHostListOptions) {
-    this.#url = new URL("/hosts", options.url).href;
+    this.#url = options.url;
     this.#log = options.log;
     this.#outage = new OutageLog(
       options.log,
@@ -104,18 +104,12 @@
     }
   }
 
-  async #read(): Promise<readonly Host[]> {
+  #read(): Promise<readonly Host[]> {
     const signal = AbortSignal.any([
       this.#stopping.signal,
       AbortSignal.timeout(REQUEST_TIMEOUT_MS),
     ]);
-    const dispatcher = this.#agent;
-    const answer = await request(this.#url, { dispatcher, signal });
-    const body = await answer.body.json();
-    if (answer.statusCode !== 200) {
-      throw new Error(`the host list answered ${answer.statusCode}`);
-    }
-    return hostListSchema.parse(body).hosts;
+    return readHosts(this.#url, this.#agent, signal);
   }
 
   #accept(hosts: readonly Host[]): void {
@@ -131,3 +125,18 @@
     for (const listener of this.#listeners) listener();
   }
 }
+
+/** Reads the list once; throws when that fails. */
+export async function readHosts(
+  url: string,
+  dispatcher: Dispatcher,
+  signal: AbortSignal,
+): Promise<readonly Host[]> {
+  const path = new URL("/hosts", url);
+  const answer = await request(path, { dispatcher, signal });
+  const body = await answer.body.json();
+  if (answer.statusCode !== 200) {
+    throw new Error(`the host list answered ${answer.statusCode}`);
+  }
+  return hostListSchema.parse(body).hosts;
+}
--- a/src/plugins/mod.ts
+++ b/src/plugins/mod.ts
@@ -16,5 +16,6 @@
 import "./object_store/plugin.ts";
 import "./peers/plugin.ts";
 import "./routing/plugin.ts";
+import "./status/plugin.ts";
 import "./table_service/plugin.ts";
 import "./upstream/plugin.ts";
--- a/src/plugins/peers/peers.ts
+++ b/src/plugins/peers/peers.ts
@@ -30,6 +30,8 @@
 export interface Peers {
   /** Host and port under which peers reach this process. */
   readonly endpoint: string;
+  /** Port that this process listens on. */
+  readonly port: number;
   /** Answers a procedure from now on. */
   serve<Input, Output>(
     procedure: PeerProcedure<Input, Output>,
--- a/src/plugins/peers/trpc_peers.ts
+++ b/src/plugins/peers/trpc_peers.ts
@@ -51,6 +51,7 @@
   readonly #server: PeerServer;
   readonly #client: PeerClient;
   #endpoint = "";
+  #port = 0;
 
   constructor(settings: PeerSettings, log: EventLog) {
     this.#settings = settings;
@@ -69,8 +70,13 @@
     return this.#endpoint;
   }
 
+  get port(): number {
+    return this.#port;
+  }
+
   async start(): Promise<void> {
     const port = await this.#server.listen();
+    this.#port = port;
     const { address, peerEndpoint } = this.#settings;
     const host = address.includes(":") ? `[${address}]` : address;
     this.#endpoint = peerEndpoint ?? `${host}:${port}`;
--- /dev/null
+++ b/test/configuration_test.ts
@@ -0,0 +1,140 @@
+/**
+ * The configuration of control daemons, each a process at its own address.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "earl";
+import { pollInterval } from "../src/plugins/configuration/head_poller.ts";
+import type { DaemonProcess } from "../standins/stack/daemon_process.ts";
+import { ControlStack } from "./fixtures/control_stack.ts";
+import { sampleDocument } from "./fixtures/sample_document.ts";
+import { eventually } from "./support/eventually.ts";
+
+const COUNT = 3;
+const PAUSE_MS = 2_000;
+
+describe("configuration", () => {
+  let stack: ControlStack;
+  let proxies: DaemonProcess[];
+
+  beforeEach(async () => {
+    stack = await ControlStack.start();
+  });
+  afterEach(() => stack.stop());
+
+  async function promote(service: string): Promise<number> {
+    const operation = () => ({ id: randomUUID(), operator: "test" });
+    const revisions = stack.revisions();
+    const head = await revisions
+      .put("trial", sampleDocument(service), operation())
+      .andThen(() => revisions.promote("trial", "production", operation()));
+    return head._unsafeUnwrap().number;
+  }
+
+  async function revisionOf(proxy: DaemonProcess): Promise<number | undefined> {
+    return (await stack.report(proxy))?.revision;
+  }
+
+  async function everyoneHas(
+    revision: number,
+    watched: readonly DaemonProcess[] = proxies,
+  ): Promise<void> {
+    await eventually(async () => {
+      const found = await Promise.all(watched.map(revisionOf));
+      return found.every((one) => one === revision);
+    }, `revision ${revision} everywhere`);
+  }
+
+  describe("an accepted document", () => {
+    it("comes into force on every proxy, revision after revision", async () => {
+      proxies = await stack.startProxies(COUNT, "127.41.3");
+      for (const service of ["one", "two", "three"]) {
+        await everyoneHas(await promote(service));
+      }
+    });
+
+    it("that does not fit the schema leaves the old one in force", async () => {
+      proxies = await stack.startProxies(1, "127.41.3");
+      await everyoneHas(await promote("one"));
+      const text = "service: two\n";
+      await stack.forceHead("production", 2, text);
+      await sleep(PAUSE_MS);
+      await everyoneHas(1);
+      await stack.forceHead("production", 3, sampleDocument("three"));
+      await everyoneHas(3);
+    });
+  });
+
+  describe("a proxy that starts while the store is down", () => {
+    it("takes the highest revision of a peer", async () => {
+      proxies = await stack.startProxies(2, "127.41.4");
+      const revision = await promote("one");
+      await everyoneHas(revision);
+      await stack.setFaults(stack.table, { down: true });
+      await stack.setFaults(stack.objects, { down: true });
+      const late = await stack.startProxy({
+        name: "proxy-late",
+        address: "127.41.4.9",
+      });
+      await everyoneHas(revision, [late]);
+    });
+
+    it("stays without one when there is no peer, and takes it when the store is back", async () => {
+      const revision = await promote("one");
+      await stack.setFaults(stack.table, { down: true });
+      proxies = await stack.startProxies(1, "127.41.4");
+      await sleep(PAUSE_MS);
+      await everyoneHas(0);
+      await stack.setFaults(stack.table, { down: false });
+      await everyoneHas(revision);
+    });
+  });
+
+  describe("a frozen proxy that resumes", () => {
+    it("never goes back and catches up", async () => {
+      proxies = await stack.startProxies(COUNT, "127.41.5");
+      await everyoneHas(await promote("one"));
+      const [first, ...others] = proxies;
+      first!.freeze();
+      const next = await promote("two");
+      await everyoneHas(next, others);
+      first!.resume();
+      await everyoneHas(next);
+    });
+  });
+
+  describe("a proxy that starts anew during an outage", () => {
+    it("never shows a lower revision to its peers", async () => {
+      proxies = await stack.startProxies(2, "127.41.6");
+      await promote("one");
+      const revision = await promote("two");
+      await everyoneHas(revision);
+      await stack.setFaults(stack.table, { down: true });
+      await proxies[0]!.kill();
+      const again = await stack.startProxy({
+        name: "proxy-1",
+        address: "127.41.6.1",
+      });
+      const seen = new Set<number | undefined>();
+      await eventually(async () => {
+        seen.add(await revisionOf(proxies[1]!));
+        return await revisionOf(again) === revision;
+      }, "the revision at the proxy that started anew");
+      expect([...seen]).toEqual([revision]);
+    });
+  });
+
+  describe("the interval of polls", () => {
+    it("keeps the reads of all proxies together at about eight a second", () => {
+      expect(pollInterval(1, 0)).toEqual(500);
+      expect(pollInterval(4, 0)).toEqual(500);
+      for (const proxies of [16, 400, 5_200]) {
+        const reads = proxies * 1_000 / pollInterval(proxies, 0);
+        expect(reads).toEqual(8);
+      }
+    });
+  });
+});
