Health: a patient timeout while an instance is not yet heard or known to be silent

An instance 24 ms away needs four round trips and the opening before its first answer; under load a fixed 150 ms would never let such a connection open. Suspicion keeps the short timeout for the first three failures.

Failover waits until each instance has answered or failed once, and has one order to follow outstanding for each instance.

--- a/src/plugins/failover/reconciliation.ts
+++ b/src/plugins/failover/reconciliation.ts
@@ -32,6 +32,8 @@
 export class Reconciliation {
   readonly #options: ReconciliationOptions;
   readonly #persistence = new Persistence();
+  /** Instances whose order is outstanding. */
+  readonly #ordered = new Set<string>();
 
   constructor(options: ReconciliationOptions) {
     this.#options = options;
@@ -50,6 +52,7 @@
     now: number,
   ): Promise<void> {
     const { instance } = item;
+    if (this.#ordered.has(instance.name)) return;
     const displacement = displacementOf(view, item);
     const held = this.#persistence.observe(
       instance.name,
@@ -74,11 +77,10 @@
       });
     }
     const { group, term } = view;
-    await orderFollow(
-      { group, control, log, term },
-      instance,
-      primary.instance,
-    );
+    const order = { group, control, log, term };
+    this.#ordered.add(instance.name);
+    await orderFollow(order, instance, primary.instance);
+    this.#ordered.delete(instance.name);
   }
 
   #patience(displacement: Displacement): number {
--- a/src/plugins/failover/suspicion.ts
+++ b/src/plugins/failover/suspicion.ts
@@ -59,6 +59,7 @@
   now: number,
   reason: SuspicionReason,
 ): Verdict {
+  if (view.instances.some(isUnknown)) return CALM;
   const others = reachable(view, now).filter((item) =>
     item.instance.name !== view.primary
   );
@@ -72,6 +73,11 @@
   return { kind: "suspected", reason };
 }
 
+/** Whether an instance has neither answered nor failed since it is watched. */
+function isUnknown({ status, failures }: InstanceView): boolean {
+  return status === undefined && failures < SILENT_FAILURES;
+}
+
 /** The instances that answered their last probe a moment ago. */
 function reachable(view: GroupView, now: number): readonly InstanceView[] {
   return view.instances.filter((item) =>
--- a/src/plugins/health/group_watch.ts
+++ b/src/plugins/health/group_watch.ts
@@ -30,6 +30,7 @@
 import {
   type ConfirmedPrimary,
   confirmPrimary,
+  findPrimary,
   majorityPosition,
 } from "./quorum.ts";
 import { Rounds, type Urgency } from "./rounds.ts";
@@ -211,15 +212,17 @@
     if (confirmed) this.#takeConfirmed(confirmed);
     this.staleness.observe(probe);
     this.#rounds.settled(probe);
-    this.#endTrials();
+    for (const instance of this.slow.endTrials()) {
+      this.#log(Events.INSTANCE_INCLUDED, { instance });
+    }
     this.#news();
   }
 
   #takeConfirmed(confirmed: ConfirmedPrimary): void {
     const before = this.confirmed;
     this.confirmed = confirmed;
-    const { instance, term } = confirmed;
     this.staleness.sample(confirmed);
+    const { instance, term } = confirmed;
     if (before?.term === term && before.instance.name === instance.name) return;
     this.#log(Events.PRIMARY_FOUND, { primary: instance.name, term });
   }
@@ -275,16 +278,11 @@
     if (primary.confirmedAt < Math.max(oldest, this.#confirmAfter)) {
       return undefined;
     }
-    if (this.view().primary !== primary.instance.name) return undefined;
+    const leader = findPrimary(this.probes);
+    if (leader?.instance !== primary.instance) return undefined;
     return ok(primary.instance);
   }
 
-  #endTrials(): void {
-    for (const instance of this.slow.endTrials()) {
-      this.#log(Events.INSTANCE_INCLUDED, { instance });
-    }
-  }
-
   #absent(text: string): Failure {
     return createFailure(
       ResultCodes.PRIMARY_ABSENT,
--- a/src/plugins/health/instance_probe.ts
+++ b/src/plugins/health/instance_probe.ts
@@ -12,6 +12,10 @@
 
 /** Longest wait for a status, the opening of the connection included. */
 const PROBE_TIMEOUT_MS = 150;
+/** The same while the instance was never heard, or is known to be silent. */
+const PATIENT_TIMEOUT_MS = 500;
+/** Failures in a row from which an instance is known to be silent. */
+const SILENT_FAILURES = 3;
 /** Pause between requests to an instance that fails, at first and after many failures. */
 const FAILING_PAUSE_MS = 25;
 const DEAD_PAUSE_MS = 200;
@@ -80,10 +84,19 @@
     return this.failures < DEAD_FAILURES ? FAILING_PAUSE_MS : DEAD_PAUSE_MS;
   }
 
+  #timeout(): number {
+    const patient = !this.status || this.failures >= SILENT_FAILURES;
+    return patient ? PATIENT_TIMEOUT_MS : PROBE_TIMEOUT_MS;
+  }
+
   async #request(order: number, sentAt: number): Promise<void> {
     const { database, instance, control, settled } = this.#options;
     const pauses = this.#pauses;
-    const result = await control.status(database, instance, PROBE_TIMEOUT_MS);
+    const result = await control.status(
+      database,
+      instance,
+      this.#timeout(),
+    );
     this.outstanding = false;
     if (this.#closed) return;
     if (result.isOk()) this.#take(result.value, order, sentAt);
