Stand-in of a database instance, with a launcher of groups for tests

A separate process over the embedded engine: PostgreSQL protocol, one transaction at a time behind a gate, row images of each committed transaction as log entries with terms and positions, replication over an ordinary connection, fence, promote and follow by plain statements, settable lags, a connection limit.

--- /dev/null
+++ b/standins/instance/control.ts
@@ -0,0 +1,138 @@
+/**
+ * Control statements, recognised by their text, and their answers.
+ *
+ * @module
+ */
+import type { InstanceStatus } from "../../src/plugins/upstream/database_group.ts";
+import type { DatabaseInstance } from "./instance.ts";
+import { formatTermStarts } from "./log.ts";
+import type { StreamRequest } from "./source.ts";
+import { type Column, SqlFailure } from "./wire.ts";
+
+const PATTERN =
+  /^\s*select\s+\*\s+from\s+marjoramshed_(status|fence|promote|follow|position|lag|log)\s*\(([^)]*)\)\s*;?\s*$/i;
+
+/** A recognised statement. */
+export interface Control {
+  readonly name:
+    | "status"
+    | "fence"
+    | "promote"
+    | "follow"
+    | "position"
+    | "lag"
+    | "log";
+  readonly args: readonly string[];
+}
+
+const STATUS: readonly Column[] = [
+  { name: "role", type: "text" },
+  { name: "seen_term", type: "int8" },
+  { name: "last_term", type: "int8" },
+  { name: "term_starts", type: "text" },
+  { name: "received", type: "int8" },
+  { name: "applied", type: "int8" },
+  { name: "source", type: "text" },
+  { name: "hears_source", type: "bool" },
+];
+
+const FENCE: readonly Column[] = [
+  { name: "last_term", type: "int8" },
+  { name: "term_starts", type: "text" },
+  { name: "received", type: "int8" },
+];
+
+const POSITION: readonly Column[] = [
+  { name: "term", type: "int8" },
+  { name: "lsn", type: "int8" },
+];
+
+const LAG: readonly Column[] = [
+  { name: "receive_ms", type: "int8" },
+  { name: "apply_ms", type: "int8" },
+];
+
+/** Columns of each control statement but the endless one. */
+export const CONTROL_COLUMNS: Readonly<
+  Record<Control["name"], readonly Column[]>
+> = {
+  status: STATUS,
+  fence: FENCE,
+  promote: STATUS,
+  follow: STATUS,
+  position: POSITION,
+  lag: LAG,
+  log: [],
+};
+
+/** Recognises a control statement. */
+export function parseControl(text: string): Control | undefined {
+  const match = PATTERN.exec(text);
+  if (!match) return undefined;
+  const args = match[2]!.trim() === "" ? [] : match[2]!.split(",");
+  return {
+    name: match[1]!.toLowerCase() as Control["name"],
+    args: args.map((arg) => arg.trim().replace(/^'(.*)'$/, "$1")),
+  };
+}
+
+/** Runs a control statement and gives its row. */
+export async function runControl(
+  instance: DatabaseInstance,
+  { name, args }: Control,
+): Promise<readonly (string | null)[]> {
+  switch (name) {
+    case "status":
+      return statusRow(instance.status());
+    case "fence":
+      return fenceRow(instance.fence(integer(args[0])));
+    case "promote":
+      return statusRow(await instance.promote(integer(args[0])));
+    case "follow": {
+      const [source = "", host = "", port, term] = args;
+      const order = { name: source, host, port: integer(port) };
+      return statusRow(instance.follow(order, integer(term)));
+    }
+    case "position": {
+      const { term, lsn } = instance.position();
+      return [String(term), String(lsn)];
+    }
+    case "lag":
+      instance.setLag(integer(args[0]), integer(args[1]));
+      return [String(integer(args[0])), String(integer(args[1]))];
+    case "log":
+      throw new SqlFailure("0A000", "the log is streamed by simple query only");
+  }
+}
+
+/** Reads what a follower holds from the arguments of the log statement. */
+export function readStreamRequest({ args }: Control): StreamRequest {
+  return {
+    from: BigInt(integer(args[0])),
+    lastTerm: integer(args[1]),
+    seenTerm: integer(args[2]),
+  };
+}
+
+function integer(text: string | undefined): number {
+  if (text !== undefined && /^\d{1,15}$/.test(text)) return Number(text);
+  throw new SqlFailure("22P02", `expected a whole number, found ${text}`);
+}
+
+function statusRow(status: InstanceStatus): readonly (string | null)[] {
+  return [
+    status.role,
+    String(status.seenTerm),
+    String(status.lastTerm),
+    formatTermStarts(status.termStarts),
+    String(status.received),
+    String(status.applied),
+    status.source ?? null,
+    status.hearsSource ? "t" : "f",
+  ];
+}
+
+function fenceRow(status: InstanceStatus): readonly (string | null)[] {
+  const starts = formatTermStarts(status.termStarts);
+  return [String(status.lastTerm), starts, String(status.received)];
+}
--- /dev/null
+++ b/standins/instance/engine_access.ts
@@ -0,0 +1,127 @@
+/**
+ * One connection's use of the engine: holds the gate from the first statement to
+ * the end of its transaction, with the connection's own settings in force.
+ *
+ * @module
+ */
+import {
+  type Answers,
+  filterAnswers,
+  type Hidden,
+  type TransactionStatus,
+} from "./answers.ts";
+import type { DatabaseInstance } from "./instance.ts";
+import {
+  NO_SETTINGS,
+  readSettings,
+  type SessionSettings,
+} from "./session_settings.ts";
+import type { Statement } from "./statement.ts";
+import { createMessage, type SqlFailure } from "./wire.ts";
+
+const ROLLBACK = Buffer.concat([
+  createMessage("Q", "ROLLBACK"),
+  createMessage("S"),
+  createMessage("Q", "ROLLBACK"),
+]);
+
+/** Runs messages on the engine for one connection. */
+export class EngineAccess {
+  readonly #instance: DatabaseInstance;
+  readonly #customSettings = new Set<string>();
+  #settings: SessionSettings;
+  #settingsChanged = false;
+  #status: TransactionStatus = "I";
+  #wrote = false;
+  #schemaChanged = false;
+
+  constructor(instance: DatabaseInstance, settings: SessionSettings) {
+    this.#instance = instance;
+    this.#settings = settings;
+  }
+
+  /** Whether this connection holds the gate: its transaction is open. */
+  get held(): boolean {
+    return this.#instance.database.gate.isHeldBy(this);
+  }
+
+  /** Whether a transaction block is open. */
+  get inTransaction(): boolean {
+    return this.#status !== "I";
+  }
+
+  /** ReadyForQuery as of now. */
+  get ready(): Buffer {
+    return createMessage("Z", Buffer.from(this.#status));
+  }
+
+  /** Whether the open transaction may have changed something. */
+  get wrote(): boolean {
+    return this.#wrote;
+  }
+
+  /** Waits for the gate and puts the connection's settings in force. */
+  async enter(): Promise<void> {
+    if (this.held) return;
+    const { database } = this.#instance;
+    await database.gate.acquire(this);
+    try {
+      database.useSettings(this.#settings);
+    } catch (error) {
+      database.gate.release(this);
+      throw error;
+    }
+  }
+
+  /** Ends the wait for the gate; gives false when there is none. */
+  abandon(reason: SqlFailure): boolean {
+    return this.#instance.database.gate.abandon(this, reason);
+  }
+
+  /** Notes what running a statement may do besides its answers. */
+  note(statement: Statement): void {
+    if (statement.changesSequence) this.#wrote = true;
+    if (!statement.changesSettings) return;
+    this.#settingsChanged = true;
+    for (const name of statement.customSettings) this.#customSettings.add(name);
+  }
+
+  /** Runs messages; the gate must be held, and is let go when the transaction has ended. */
+  execute(messages: Buffer, hidden: Hidden = {}): Answers {
+    const { database } = this.#instance;
+    const answers = filterAnswers(database.engine.execute(messages), hidden);
+    this.#wrote ||= answers.wrote;
+    this.#schemaChanged ||= answers.schemaChanged;
+    this.#status = answers.status ?? this.#status;
+    if (answers.status === "I") this.#finish();
+    return answers;
+  }
+
+  /** Rolls back what is open and lets the gate go. */
+  rollback(): void {
+    if (!this.held) return;
+    this.#instance.database.engine.execute(ROLLBACK);
+    this.#finish();
+  }
+
+  #finish(): void {
+    const { database, role, seenTerm } = this.#instance;
+    const primary = role === "primary" && !database.readOnly;
+    if (primary && (this.#wrote || this.#schemaChanged)) {
+      database.commit(seenTerm, this.#schemaChanged);
+    }
+    this.#status = "I";
+    this.#wrote = false;
+    this.#schemaChanged = false;
+    if (this.#settingsChanged) this.#readSettings();
+    database.gate.release(this);
+  }
+
+  #readSettings(): void {
+    const { database } = this.#instance;
+    this.#settingsChanged = false;
+    this.#settings = readSettings(database.engine, this.#customSettings);
+    const unchanged = this.#settings === NO_SETTINGS;
+    database.noteSettings(unchanged ? undefined : this.#settings);
+  }
+}
