--- a/src/plugins/failover/group_failover.ts
+++ b/src/plugins/failover/group_failover.ts
@@ -33,6 +33,8 @@
   isolated: 1_000,
   absent: 100,
 };
+/** Time that a promotion has to be withheld before it is logged. */
+const WITHHELD_MS = 500;
 /** Time that a proposal of another proxy is left alone, and its random part. */
 const PROPOSAL_GRACE_MS = 300;
 const PROPOSAL_JITTER_MS = 150;
@@ -100,7 +102,7 @@
     const now = performance.now();
     this.#noteTerm(view, now);
     const verdict = judge(view, now);
-    this.#noteWithheld(view, verdict);
+    this.#noteWithheld(view, verdict, now);
     if (verdict.kind === "suspected") return await this.#suspect(view, verdict);
     this.#persistence.observe("suspected", false, now);
     if (verdict.kind === "withheld") return;
@@ -222,8 +224,10 @@
       Math.random() * PROPOSAL_JITTER_MS;
   }
 
-  #noteWithheld(view: GroupView, verdict: Verdict): void {
-    const reason = verdict.kind === "withheld" ? verdict.reason : undefined;
+  #noteWithheld(view: GroupView, verdict: Verdict, now: number): void {
+    const withheld = verdict.kind === "withheld";
+    const held = this.#persistence.observe("withheld", withheld, now);
+    const reason = withheld && held >= WITHHELD_MS ? verdict.reason : undefined;
     if (reason === this.#withheld) return;
     this.#withheld = reason;
     if (reason === undefined) return;
