--- a/src/kernel/settings.ts
+++ b/src/kernel/settings.ts
@@ -54,6 +54,8 @@
   upstreamUser: z.string().min(1).default("marjoramshed"),
   /** Password at the upstreams. */
   upstreamPassword: z.string().default("marjoramshed"),
+  /** Most callers that are connected at a time. */
+  callerLimit: z.coerce.number().int().min(1).max(1_000_000).default(20_000),
   /** Routing policy: session, primary, or sticky (primary for a fixed time after a write). */
   policy: z.enum(["session", "primary", "sticky"]).default("session"),
   /** Time that a planned stop may take, in ms. */
@@ -94,13 +96,24 @@
   const keys = Object.keys(settingsSchema.shape);
   const flags = readFlags(args, keys);
   if (flags.isErr()) return err(flags.error);
+  const given = Object.fromEntries(
+    keys.map((key) => [key, flags.value[flagOf(key).slice(2)]]),
+  );
+  return checkSettings(settingsSchema, given, environment);
+}
+
+/** Checks given settings, with the environment for those that are missing, by a schema whose keys are settings. */
+export function checkSettings<Shape extends z.ZodRawShape>(
+  schema: z.ZodObject<Shape>,
+  given: Readonly<Record<string, string | undefined>>,
+  environment: Readonly<Record<string, string | undefined>>,
+): Result<Readonly<z.infer<z.ZodObject<Shape>>>, Failure> {
   const raw: Record<string, string> = {};
-  for (const key of keys) {
-    const value = flags.value[flagOf(key).slice(2)] ??
-      environment[variableOf(key)];
+  for (const key of Object.keys(schema.shape)) {
+    const value = given[key] ?? environment[variableOf(key)];
     if (value !== undefined) raw[key] = value;
   }
-  const parsed = settingsSchema.safeParse(raw);
+  const parsed = schema.safeParse(raw);
   if (parsed.success) return ok(Object.freeze(parsed.data));
   const issue = parsed.error.issues[0];
   const key = String(issue?.path[0] ?? "");
