Failover: tests with processes behind the fault-injecting network

Killed, frozen and isolated primaries, a proposer frozen or dead between fencing and promoting, racing proposers, paused and cut-off watchers, planned changes.

--- /dev/null
+++ b/test/failover_test.ts
@@ -0,0 +1,228 @@
+import { readFileSync } from "node:fs";
+import { after, afterEach, before, beforeEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "earl";
+import { Events } from "../src/kernel/events.ts";
+import { containsPosition } from "../src/plugins/upstream/position.ts";
+import {
+  FailoverCluster,
+  type FailoverProxy,
+  type ToldView,
+} from "./fixtures/failover_cluster.ts";
+import { eventually } from "./support/eventually.ts";
+
+/** Time in which a wrong promotion would show. */
+const WATCH_MS = 2_500;
+
+describe("failover", { timeout: 200_000 }, () => {
+  const cluster = new FailoverCluster();
+  let primary: string;
+
+  before(() => cluster.start());
+  after(() => cluster.stop());
+  beforeEach(async () => {
+    primary = await cluster.restore();
+  });
+  afterEach(() => cluster.stopProxies());
+
+  const startProxies = (names: readonly string[]) =>
+    Promise.all(names.map((name) => cluster.startProxy(name)));
+  const others = () =>
+    cluster.instances.map((item) => item.name)
+      .filter((name) => name !== primary);
+  const term = async (name = primary) => (await cluster.status(name))!.seenTerm;
+  const promotions = async (proxies: readonly FailoverProxy[]) =>
+    (await Promise.all(proxies.map((proxy) => proxy.events(Events.PROMOTED))))
+      .flat();
+
+  const expectNoPromotion = async (
+    proxies: readonly FailoverProxy[],
+    before: number,
+  ) => {
+    await sleep(WATCH_MS);
+    expect(await promotions(proxies)).toEqual([]);
+    expect(await term()).toEqual(before);
+  };
+
+  const expectNewPrimary = async (proxy: FailoverProxy, former: string) => {
+    await eventually(async () => {
+      const view = await proxy.ask<ToldView>("view");
+      return view.primary !== undefined && view.primary !== former;
+    }, "another primary");
+    const name = await proxy.primary();
+    expect(await proxy.confirm(await cluster.write(name))).toEqual("confirmed");
+    return name;
+  };
+
+  it("replaces a killed primary and keeps what was confirmed", async () => {
+    const [p1, p2] = await startProxies(["p1", "p2"]);
+    expect(await p1!.primary()).toEqual(primary);
+    const position = await cluster.write(primary);
+    expect(await p2!.confirm(position)).toEqual("confirmed");
+    await cluster.process(primary).kill();
+    const name = await expectNewPrimary(p2!, primary);
+    const status = (await cluster.status(name))!;
+    expect(containsPosition(status, status.received, position)).toEqual(true);
+  });
+
+  it("does without the table service and other members", async () => {
+    const proxy = await cluster.startProxy("p1", {
+      members: ["p1"],
+      tableServiceDown: true,
+    });
+    await proxy.primary();
+    await cluster.process(primary).kill();
+    await expectNewPrimary(proxy, primary);
+  });
+
+  it("makes one primary for each term when proposers race", async () => {
+    const names = ["p1", "p2", "p3", "p4"];
+    const proxies = await Promise.all(
+      names.map((name) => cluster.startProxy(name, { members: [name] })),
+    );
+    for (const proxy of proxies) await proxy.primary();
+    await cluster.process(primary).kill();
+    await expectNewPrimary(proxies[0]!, primary);
+    const terms = (await promotions(proxies)).map((item) => item["term"]);
+    expect(new Set(terms).size).toEqual(terms.length);
+  });
+
+  it("fences a frozen primary, which acknowledges nothing afterwards", async () => {
+    const [p1, p2] = await startProxies(["p1", "p2"]);
+    await p1!.primary();
+    const former = await term();
+    cluster.process(primary).freeze();
+    await expectNewPrimary(p2!, primary);
+    cluster.process(primary).resume();
+    const late = await cluster.write(primary).catch(() => undefined);
+    if (late?.term === former) {
+      expect(await p2!.confirm(late)).not.toEqual("confirmed");
+    }
+    expect(await cluster.settle()).not.toEqual(primary);
+  });
+
+  it("discards the unconfirmed tail of an isolated primary", async () => {
+    const [p1, p2] = await startProxies(["p1", "p2"]);
+    await p1!.primary();
+    const isolation = [{
+      kind: "cut",
+      from: { host: primary },
+      to: {},
+    }] as const;
+    await cluster.setFaults(isolation);
+    const tail = await cluster.write(primary);
+    const name = await expectNewPrimary(p2!, primary);
+    expect(await p2!.confirm(tail)).toEqual("outcome-unknown");
+    await sleep(WATCH_MS);
+    await cluster.setFaults([]);
+    expect(await cluster.settle()).toEqual(name);
+    const status = (await cluster.status(primary))!;
+    expect(containsPosition(status, status.received, tail)).toEqual(false);
+    const returned = await Promise.all(
+      [p1!, p2!].map((proxy) => proxy.events(Events.FORMER_PRIMARY_RETURNED)),
+    );
+    expect(returned.flat().length).toBeGreaterThan(0);
+  });
+
+  it("leaves a proposer harmless that was frozen between fencing and promoting", async () => {
+    const frozen = await cluster.startProxy("p1", {
+      freezeBeforePromote: true,
+    });
+    const second = await cluster.startProxy("p2");
+    await frozen.primary();
+    await second.primary();
+    await cluster.process(primary).kill();
+    await eventually(() => isStopped(frozen), "the proposer froze itself");
+    const name = await expectNewPrimary(second, primary);
+    const before = await term(name);
+    frozen.process.resume();
+    await eventually(
+      async () => (await frozen.events(Events.FAILOVER_ABANDONED)).length > 0,
+      "the proposer gives up",
+    );
+    expect(await promotions([frozen])).toEqual([]);
+    expect((await cluster.status(name))?.role).toEqual("primary");
+    expect(await term(name)).toEqual(before);
+  });
+
+  it("finishes the work of a proposer that died after fencing", async () => {
+    const frozen = await cluster.startProxy("p1", {
+      freezeBeforePromote: true,
+    });
+    const second = await cluster.startProxy("p2");
+    await frozen.primary();
+    await second.primary();
+    await cluster.process(primary).kill();
+    await eventually(() => isStopped(frozen), "the proposer froze itself");
+    await frozen.process.kill();
+    await expectNewPrimary(second, primary);
+  });
+
+  it("orders nothing when only the proxies were paused", async () => {
+    const proxies = await startProxies(["p1", "p2"]);
+    for (const proxy of proxies) await proxy.primary();
+    const before = await term();
+    for (const proxy of proxies) proxy.process.freeze();
+    await sleep(WATCH_MS);
+    for (const proxy of proxies) proxy.process.resume();
+    await expectNoPromotion(proxies, before);
+    const paused = await proxies[0]!.events(Events.PAUSE_OBSERVED);
+    expect(paused.length).toBeGreaterThan(0);
+  });
+
+  it("orders nothing from a proxy that alone is cut from the primary", async () => {
+    const [p1] = await startProxies(["p1"]);
+    await p1!.primary();
+    const before = await term();
+    await cluster.setFaults([
+      { kind: "cut", from: { host: "p1" }, to: { host: primary } },
+    ]);
+    await expectNoPromotion([p1!], before);
+    const withheld = await p1!.events(Events.FAILOVER_WITHHELD);
+    expect(withheld[0]?.["reason"]).toEqual("replicas hear it");
+  });
+
+  it("orders nothing while only a minority can be reached", async () => {
+    const [p1] = await startProxies(["p1"]);
+    await p1!.primary();
+    const [first, second] = others();
+    const before = await term(second!);
+    await cluster.setFaults([
+      { kind: "cut", from: { host: "p1" }, to: { host: first! } },
+    ]);
+    await cluster.process(primary).kill();
+    await sleep(WATCH_MS);
+    expect(await promotions([p1!])).toEqual([]);
+    expect(await term(second!)).toEqual(before);
+    const withheld = await p1!.events(Events.FAILOVER_WITHHELD);
+    expect(withheld.map((item) => item["reason"])).toInclude(
+      "no majority reachable",
+    );
+  });
+
+  it("moves the lead to the preferred instance", async () => {
+    const [p1] = await startProxies(["p1"]);
+    await p1!.primary();
+    const position = await cluster.write(primary);
+    const wanted = others()[1]!;
+    await p1!.ask(`prefer/${wanted}`);
+    expect(await expectNewPrimary(p1!, primary)).toEqual(wanted);
+    expect(await p1!.confirm(position)).toEqual("confirmed");
+    expect(await cluster.settle()).toEqual(wanted);
+    const ended = await p1!.events(Events.SWITCHOVER_ENDED);
+    expect(ended.length).toEqual(1);
+  });
+
+  it("moves the lead away from a leaving instance", async () => {
+    const [p1] = await startProxies(["p1"]);
+    await p1!.primary();
+    await p1!.ask(`leaving/${primary}`);
+    await expectNewPrimary(p1!, primary);
+  });
+});
+
+/** Whether a process is stopped by a signal. */
+function isStopped(proxy: FailoverProxy): boolean {
+  const stat = readFileSync(`/proc/${proxy.process.ready.pid}/stat`, "utf8");
+  return stat.slice(stat.lastIndexOf(")") + 2).startsWith("T");
+}
