--- a/src/plugins/callers/startup_packet.ts
+++ b/src/plugins/callers/startup_packet.ts
@@ -10,6 +10,7 @@
 const MAX_STARTUP_BYTES = 10_000;
 const CANCEL_CODE = 80877102;
 const GSS_CODE = 80877104;
+const LENGTH_END = 4;
 const CODE_END = 8;
 const CANCEL_LENGTH = 16;
 
@@ -30,13 +31,16 @@
   timeout: number,
 ): Promise<FirstPacket> {
   for (;;) {
-    const head = await readAtLeast(socket, CODE_END, timeout);
-    if (!head) return { kind: "closed" };
-    const length = head.readUInt32BE(0);
-    const code = head.readUInt32BE(4);
+    const start = await readAtLeast(socket, LENGTH_END, timeout);
+    if (!start) return { kind: "closed" };
+    const length = start.readUInt32BE(0);
     if (length < CODE_END || length > MAX_STARTUP_BYTES) {
       return { kind: "malformed" };
     }
+    socket.unshift(start);
+    const head = await readAtLeast(socket, CODE_END, timeout);
+    if (!head) return { kind: "closed" };
+    const code = head.readUInt32BE(LENGTH_END);
     if (code === GSS_CODE) {
       socket.write("N");
       if (head.length > CODE_END) socket.unshift(head.subarray(CODE_END));
