Peers and host list connect from the address of the settings

Cause: undici overrides a connector's localAddress by the one of its client, which was not set, so both connected from the system's choice and a cut of a zone did not reach them. Seen by the new test of zones cut from each other, which stayed in one view; two small tests of the address failed first.

node dist/test/run.js peers platform: 16 passed (14 and 2 failed before); membership configuration: 15 passed.

--- a/src/kernel/pause_observer.ts
+++ b/src/kernel/pause_observer.ts
@@ -11,7 +11,7 @@
   readonly #shortest: number;
   readonly #paused: (length: number) => void;
   #timer: NodeJS.Timeout | undefined;
-  #last = 0;
+  #last = performance.now();
   #count = 0;
 
   /** Calls back with the length of each pause of at least `shortest` ms. */
@@ -20,7 +20,7 @@
     this.#paused = paused;
   }
 
-  /** Begins to watch. */
+  /** Begins to watch; an owner that checks at an interval of its own needs no start. */
   start(): void {
     this.#last = performance.now();
     this.#timer = setInterval(() => this.check(), TICK_MS);
--- a/src/plugins/host_list/http_host_list.ts
+++ b/src/plugins/host_list/http_host_list.ts
@@ -55,7 +55,7 @@
       Events.HOST_LIST_FAILED,
       "host list",
     );
-    this.#agent = new Agent({ connect: { localAddress: options.address } });
+    this.#agent = new Agent({ localAddress: options.address });
   }
 
   hosts(): readonly Host[] {
--- a/src/plugins/membership/gossip_membership.ts
+++ b/src/plugins/membership/gossip_membership.ts
@@ -36,7 +36,7 @@
 const INDIRECT_TIMEOUT_MS = 500;
 const URGENT_FANOUT = 4;
 const SWEEP_INTERVAL_MS = 100;
-const SHORTEST_PAUSE_MS = 250;
+const SHORTEST_PAUSE_MS = 300;
 const GONE_KEPT_MS = 600_000;
 const DEMANDS_INTERVAL_MS = 2_000;
 const DEMANDS_INTERVAL_PER_MEMBER_MS = 160;
@@ -99,7 +99,7 @@
   start(): Promise<void> {
     this.#gossip.serve();
     this.#options.peers.serve(probe, ({ name }) => this.#reaches(name));
-    this.#pauses.start();
+    this.#pauses.check();
     this.#sweeper = setInterval(() => this.#sweep(), SWEEP_INTERVAL_MS);
     this.#joiner.start();
     return Promise.resolve();
@@ -111,7 +111,6 @@
 
   async stop(): Promise<void> {
     clearInterval(this.#sweeper);
-    this.#pauses.stop();
     await Promise.all([this.#links.stop(), this.#joiner.stop()]);
   }
 
--- a/src/plugins/peers/peer_client.ts
+++ b/src/plugins/peers/peer_client.ts
@@ -212,10 +212,10 @@
     const { address, certificate, traffic } = this.#options;
     const connect = buildConnector({
       ...certificate?.options(),
-      localAddress: address,
       timeout: CONNECT_TIMEOUT_MS,
     });
     return new Agent({
+      localAddress: address,
       connections: CONNECTIONS_PER_PEER,
       keepAliveTimeout: KEEP_ALIVE_MS,
       connect: (options, callback) =>
--- a/test/configuration_test.ts
+++ b/test/configuration_test.ts
@@ -106,6 +106,35 @@
     });
   });
 
+  describe("a zone that is cut off", () => {
+    it("keeps what it has, catches up when the cut heals, and takes news from peers while only the store is cut", async () => {
+      await stack.stop();
+      stack = await ControlStack.start({ network: true });
+      proxies = await stack.startProxies(4, "127.41.7", [
+        "zagreb-a",
+        "split-a",
+      ]);
+      const [first, second, third, fourth] = proxies as [
+        DaemonProcess,
+        DaemonProcess,
+        DaemonProcess,
+        DaemonProcess,
+      ];
+      await everyoneHas(await promote("one"));
+      const split = { zone: "split-a" };
+      await stack.setNetworkFaults([
+        { kind: "cut", from: split, to: { outside: "split-a" } },
+      ]);
+      await everyoneHas(await promote("two"), [first, third]);
+      await everyoneHas(1, [second, fourth]);
+      await stack.setNetworkFaults([
+        { kind: "cut", from: split, to: { zone: "platform" } },
+      ]);
+      await everyoneHas(2);
+      await everyoneHas(await promote("three"));
+    });
+  });
+
   describe("a proxy that starts anew during an outage", () => {
     it("never shows a lower revision to its peers", async () => {
       proxies = await stack.startProxies(2, "127.41.6");
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { after, before, describe, it } from "node:test";
 import { expect } from "earl";
 import { createEventLog } from "../src/kernel/events.ts";
@@ -196,4 +198,20 @@
     await putJson(`${urlOf(daemon)}/_faults`, { lagMs: 0 });
     expect(await shown()).toEqual([host]);
   });
+
+  it("is read from the address of the settings", async () => {
+    const addresses: (string | undefined)[] = [];
+    const server = createServer((request, response) => {
+      addresses.push(request.socket.remoteAddress);
+      response.end('{"hosts":[]}');
+    });
+    await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+    const { port } = server.address() as AddressInfo;
+    const url = `http://127.0.0.1:${port}`;
+    const bound = new HttpHostList({ url, address: "127.0.0.78", log });
+    await bound.start();
+    await bound.stop();
+    server.close();
+    expect(addresses).toEqual(["127.0.0.78"]);
+  });
 });
