--- a/src/commands/proxy.ts
+++ b/src/commands/proxy.ts
@@ -48,7 +48,13 @@
     const log = createEventLog(logLevel, { proxy: name, zone });
     const kernel = new Kernel(settings.value, log);
     const stopped = stopOnSignal(kernel, settings.value, log);
-    await kernel.start(["failover", "callers", "membership", "metrics"]);
+    await kernel.start([
+      "failover",
+      "callers",
+      "membership",
+      "metrics",
+      "status",
+    ]);
     this.context.stdout.write(
       JSON.stringify(describe(kernel, settings.value)) + "\n",
     );
