--- a/test/stack_test.ts
+++ b/test/stack_test.ts
@@ -9,6 +9,7 @@
 import { expect } from "earl";
 import pg from "pg";
 import postgres from "postgres";
+import { createAddressSpace } from "../standins/stack/address_space.ts";
 import { compiledPath } from "../standins/stack/daemon_process.ts";
 import type { StackDescription } from "../standins/stack/options.ts";
 import { eventually } from "./support/eventually.ts";
@@ -114,6 +115,23 @@
     expect(output.trim().split("\n").length).toEqual(1);
   });
 
+  it("takes a network that no other stack has", async () => {
+    const first = await createAddressSpace();
+    const second = await createAddressSpace();
+    expect(first.take(1)).not.toEqual(second.take(1));
+    first.release();
+    second.release();
+  });
+
+  it("stops what it has started when it is stopped during the start", async () => {
+    const starting = launch(["--databases", "stock", "--log-level", "error"]);
+    let early = "";
+    starting.stdout!.on("data", (data) => early += data);
+    setTimeout(() => starting.kill("SIGTERM"), 1_000);
+    const [code] = await once(starting, "exit");
+    expect({ code, early }).toEqual({ code: 0, early: "" });
+  });
+
   it("ends with code 1 when it can't start", async () => {
     const failing = launch(["--databases", "no-such-database"]);
     const [code] = await once(failing, "exit");
