--- a/standins/network/connection.ts
+++ b/standins/network/connection.ts
@@ -1,6 +1,5 @@
 /**
- * One connection through the network: the socket that the source has opened,
- * the socket to the target, and a pipe for each direction.
+ * Connections through the network.
  *
  * @module
  */
@@ -25,98 +24,119 @@
   readonly traffic: Traffic;
 }
 
-/** A connection that passes data on while its path allows it. */
-export class Connection {
+/** A connection that a source has opened. */
+export interface Connection {
   readonly route: Route;
+  /** Resolves when both ends are closed. */
+  readonly closed: Promise<unknown>;
+  /** Takes the state of the path after a change of the faults. */
+  apply(path: PathState): void;
+  /** Closes both ends. */
+  close(): void;
+}
+
+/** A connection that was opened over a cut path: accepted, and all that comes is swallowed. */
+export class BlackHole implements Connection {
+  readonly route: Route;
+  readonly closed: Promise<unknown>;
   readonly #near: Socket;
-  readonly #far: Socket | undefined;
-  readonly #requests: Pipe | undefined;
-  readonly #answers: Pipe | undefined;
-  #dead = false;
-
-  constructor(
-    route: Route,
-    near: Socket,
-    path: PathState,
-    loseReply: boolean,
-    clock: DelayClock,
-    onClosed: (connection: Connection) => void,
-  ) {
+
+  constructor(route: Route, near: Socket) {
     this.route = route;
+    this.closed = closeOf(near);
     this.#near = near;
     near.on("error", () => undefined);
-    route.traffic.connections += 1;
-    if (path.unreachable) {
-      this.#dead = true;
-      near.on("close", () => onClosed(this));
-      if (path.reset) near.resetAndDestroy();
-      else near.resume();
-      return;
-    }
+    near.resume();
+  }
+
+  apply(path: PathState): void {
+    if (path.unreachable && path.reset) this.#near.resetAndDestroy();
+    else if (!path.unreachable) this.close();
+  }
+
+  close(): void {
+    this.#near.destroy();
+  }
+}
+
+/** A connection that passes data on while its path allows it. */
+export class Relay implements Connection {
+  readonly route: Route;
+  readonly closed: Promise<unknown>;
+  readonly #near: Socket;
+  readonly #far: Socket;
+  readonly #requests: Pipe;
+  readonly #answers: Pipe;
+  /** Whether something was swallowed, so that it can't go on when the path is healed. */
+  #broken = false;
+
+  constructor(route: Route, near: Socket, path: PathState, clock: DelayClock) {
+    const { traffic } = route;
     const far = connectFrom(near, route);
+    this.route = route;
+    this.closed = Promise.all([closeOf(near), closeOf(far)]);
+    this.#near = near;
     this.#far = far;
     this.#requests = new Pipe(near, far, clock, (bytes) => {
-      route.traffic.requestBytes += bytes;
+      traffic.requestBytes += bytes;
     });
     this.#answers = new Pipe(far, near, clock, (bytes) => {
-      route.traffic.answerBytes += bytes;
+      traffic.answerBytes += bytes;
     });
     this.#setDelay(path.delayMs);
-    const roundTripMs = 2 * path.delayMs;
-    if (roundTripMs > 0) {
-      this.#requests.holdUntil(performance.now() + roundTripMs);
-    }
-    this.#dead = loseReply || path.dropsAnswers;
-    if (this.#dead) this.#answers.swallow();
-    this.#propagateEnd(near, far, onClosed);
+    this.#delayHandshake(path.delayMs);
+    if (path.dropsAnswers) this.loseAnswers();
+    this.#propagateEnds();
+  }
+
+  /** Swallows all answers from now on. */
+  loseAnswers(): void {
+    this.#broken = true;
+    this.#answers.swallow();
   }
 
-  /** Takes the state of the path after a change of the faults. */
   apply(path: PathState): void {
     const cut = path.dropsRequests || path.dropsAnswers;
     if (cut && path.reset) return this.#reset();
-    if (this.#dead && !cut) return this.close();
-    this.#dead = cut;
-    if (!this.#requests || !this.#answers) return;
+    if (this.#broken && !cut) return this.close();
+    this.#broken = cut;
     this.#setDelay(path.delayMs);
     if (path.dropsRequests) this.#requests.swallow();
     if (path.dropsAnswers) this.#answers.swallow();
   }
 
-  /** Closes both ends. */
   close(): void {
     this.#near.destroy();
-    this.#far?.destroy();
+    this.#far.destroy();
   }
 
   #reset(): void {
     this.#near.resetAndDestroy();
-    this.#far?.resetAndDestroy();
+    this.#far.resetAndDestroy();
   }
 
   #setDelay(delayMs: number): void {
-    this.#requests!.delayMs = delayMs;
-    this.#answers!.delayMs = delayMs;
+    this.#requests.delayMs = delayMs;
+    this.#answers.delayMs = delayMs;
+  }
+
+  /** The source believes to be connected at once; its first data waits for the round trip that it spared. */
+  #delayHandshake(delayMs: number): void {
+    if (delayMs === 0) return;
+    this.#requests.holdUntil(performance.now() + 2 * delayMs);
   }
 
-  #propagateEnd(
-    near: Socket,
-    far: Socket,
-    onClosed: (connection: Connection) => void,
-  ): void {
-    near.on("end", () => this.#requests!.finish("end"));
-    far.on("end", () => this.#answers!.finish("end"));
+  #propagateEnds(): void {
+    const near = this.#near;
+    const far = this.#far;
+    near.on("error", () => undefined);
+    near.on("end", () => this.#requests.finish("end"));
+    near.on("close", () => this.#requests.finish("destroy"));
     far.on("error", (error: NodeJS.ErrnoException) => {
       if (error.syscall === "connect") near.resetAndDestroy();
     });
-    near.on("close", () => {
-      this.#requests!.finish("destroy");
-      if (far.closed) onClosed(this);
-    });
-    far.on("close", () => {
-      this.#answers!.finish("destroy");
-      if (near.closed) onClosed(this);
-    });
+    far.on("end", () => this.#answers.finish("end"));
+    far.on("close", () => this.#answers.finish("destroy"));
   }
 }
 
@@ -129,3 +149,7 @@
     noDelay: true,
   });
 }
+
+function closeOf(socket: Socket): Promise<void> {
+  return new Promise((resolve) => socket.once("close", () => resolve()));
+}
--- a/standins/network/network.ts
+++ b/standins/network/network.ts
@@ -6,10 +6,16 @@
 import { createServer, type Server, type Socket } from "node:net";
 import { z } from "zod";
 import { listen } from "../common/daemon.ts";
-import { Connection, type Route, type Traffic } from "./connection.ts";
+import {
+  BlackHole,
+  type Connection,
+  Relay,
+  type Route,
+  type Traffic,
+} from "./connection.ts";
 import { DelayClock } from "./delay_clock.ts";
 import { type Fault, faultListSchema, FaultTable } from "./faults.ts";
-import type { NetworkHost } from "./faults.ts";
+import type { NetworkHost, PathState } from "./faults.ts";
 
 const linkSchema = z.strictObject({
   /** Unique in the process. */
@@ -125,18 +131,25 @@
       port: link.targetPort,
       traffic: this.#trafficOf(source, target),
     };
+    route.traffic.connections += 1;
     const path = this.#faults.path(source, target);
-    const loseReply = !path.unreachable &&
-      this.#faults.takeLostReply(source, target);
-    const connection = new Connection(
-      route,
-      socket,
-      path,
-      loseReply,
-      this.#clock,
-      (closed) => this.#connections.delete(closed),
-    );
+    if (path.unreachable && path.reset) {
+      socket.on("error", () => undefined);
+      socket.resetAndDestroy();
+      return;
+    }
+    const connection = this.#connect(route, socket, path);
     this.#connections.add(connection);
+    void connection.closed.then(() => this.#connections.delete(connection));
+  }
+
+  #connect(route: Route, socket: Socket, path: PathState): Connection {
+    if (path.unreachable) return new BlackHole(route, socket);
+    const relay = new Relay(route, socket, path, this.#clock);
+    if (this.#faults.takeLostReply(route.source, route.target)) {
+      relay.loseAnswers();
+    }
+    return relay;
   }
 
   #sourceOf(ip: string): NetworkHost {
--- a/standins/stack/stack.ts
+++ b/standins/stack/stack.ts
@@ -24,14 +24,13 @@
 import {
   createPlan,
   type InstancePlan,
-  PLATFORM_ZONE,
   realEndpoint,
   type StackPlan,
 } from "./plan.ts";
-import { formatEndpoint, Routes, urlOf } from "./routes.ts";
+import { Routes, urlOf } from "./routes.ts";
+import { listHosts, listLatencies } from "./surroundings.ts";
 
 const FIRST_TERM = 1;
-const CALLERS = { zone: "clients" };
 
 /** The processes of the platform. */
 export type PlatformService = "tableService" | "objectStore" | "hostList";
@@ -180,7 +179,13 @@
 
   /** Puts faults in place of those on the network; the deployment's latencies stay. */
   async setNetworkFaults(faults: readonly Fault[]): Promise<void> {
-    const list = [...this.#latencies(), ...faults];
+    if (faults.length > 0 && this.plan.networks.length === 0) {
+      throw new Error("faults of the network need a stack with a network");
+    }
+    const latencies = this.#options.latency
+      ? listLatencies(this.plan, this.example.latencies)
+      : [];
+    const list = [...latencies, ...faults];
     await Promise.all(this.plan.networks.map((network) => {
       const url = `${urlOf(realEndpoint(network))}/faults`;
       return sendJson(url, "PUT", { faults: list });
@@ -234,7 +239,8 @@
   }
 
   async #publish(): Promise<void> {
-    await putHosts(realEndpoint(this.plan.hostList), this.#listHosts());
+    const hosts = listHosts(this.plan, this.#routes);
+    await putHosts(realEndpoint(this.plan.hostList), hosts);
     const endpoints = new Map(
       this.plan.instances.map((one) => [one.name, this.#routes.of(one)]),
     );
@@ -245,42 +251,6 @@
     );
   }
 
-  #listHosts(): readonly Host[] {
-    const state = "live" as const;
-    const instances = this.plan.instances.map((one): Host => {
-      const endpoint = formatEndpoint(this.#routes.of(one));
-      return {
-        name: one.name,
-        kind: "instance",
-        zone: one.zone,
-        endpoint,
-        state,
-      };
-    });
-    const proxies = this.plan.proxies.map((one): Host => {
-      const endpoint = formatEndpoint(this.#routes.ofPeers(one));
-      return { name: one.name, kind: "proxy", zone: one.zone, endpoint, state };
-    });
-    return [...instances, ...proxies];
-  }
-
-  #latencies(): readonly Fault[] {
-    if (!this.#options.latency) return [];
-    const { betweenZonesMs, toCallersMs } = this.example.latencies;
-    const zones = [...this.plan.zones, PLATFORM_ZONE];
-    const callers: Fault = {
-      kind: "latency",
-      between: [CALLERS, {}],
-      ms: toCallersMs,
-    };
-    const between = zones.map((zone): Fault => ({
-      kind: "latency",
-      between: [{ zone }, { outside: zone }],
-      ms: betweenZonesMs,
-    }));
-    return [callers, ...between];
-  }
-
   async #leadership(
     instance: InstancePlan,
   ): Promise<ReplicationSource | undefined> {
--- /dev/null
+++ b/standins/stack/surroundings.ts
@@ -0,0 +1,50 @@
+/**
+ * What surrounds the processes of a plan: the hosts that the platform lists and
+ * the latencies between them.
+ *
+ * @module
+ */
+import type { Host } from "../../src/plugins/host_list/host_list.ts";
+import type { Fault } from "../network/faults.ts";
+import type { Latencies } from "./example.ts";
+import { PLATFORM_ZONE, type StackPlan } from "./plan.ts";
+import { formatEndpoint, type Routes } from "./routes.ts";
+
+const CALLERS = { zone: "clients" };
+
+/** The hosts of a plan, all of them live. */
+export function listHosts(plan: StackPlan, routes: Routes): readonly Host[] {
+  const instances = plan.instances.map((one): Host => ({
+    name: one.name,
+    kind: "instance",
+    zone: one.zone,
+    endpoint: formatEndpoint(routes.of(one)),
+    state: "live",
+  }));
+  const proxies = plan.proxies.map((one): Host => ({
+    name: one.name,
+    kind: "proxy",
+    zone: one.zone,
+    endpoint: formatEndpoint(routes.ofPeers(one)),
+    state: "live",
+  }));
+  return [...instances, ...proxies];
+}
+
+/** The latencies of a deployment; the platform counts as a zone of its own. */
+export function listLatencies(
+  plan: StackPlan,
+  latencies: Latencies,
+): readonly Fault[] {
+  const callers: Fault = {
+    kind: "latency",
+    between: [CALLERS, {}],
+    ms: latencies.toCallersMs,
+  };
+  const zones = [...plan.zones, PLATFORM_ZONE].map((zone): Fault => ({
+    kind: "latency",
+    between: [{ zone }, { outside: zone }],
+    ms: latencies.betweenZonesMs,
+  }));
+  return [callers, ...zones];
+}
