Connections: tests against an instance, early refusal of starved classes

Cause: under a steady load of high priority the low class waited to its whole deadline of 5 s before it was refused, since the expected wait counted only what stands ahead in the queue. Now the age of the class's first waiter counts too, and no statement stays longer than 1 to 3 s by class.

--- a/src/plugins/connections/admission.ts
+++ b/src/plugins/connections/admission.ts
@@ -21,6 +21,13 @@
   low: 500,
 };
 
+/** Longest stay in the queue, whatever the deadline: a class that is starved is told so. */
+const STAY_MAX_MS: Readonly<Record<Priority, number>> = {
+  high: 3_000,
+  normal: 2_000,
+  low: 1_000,
+};
+
 const SHED_REPORT_INTERVAL_MS = 1_000;
 
 /** Told of refusals: the code of the latest, and how many there were since the last report. */
@@ -58,8 +65,10 @@
   ): Failure | undefined {
     const left = request.deadline - performance.now();
     if (left <= 0) return this.deadlineFailure();
-    const ahead = queue.ahead(request.priority);
-    const wait = this.#serviceTime.mean * ahead / Math.max(1, connections);
+    const wait = Math.max(
+      queue.age(request.priority),
+      this.#expectedWait(queue.ahead(request.priority), connections),
+    );
     if (wait > Math.min(left, EXPECTED_WAIT_MAX_MS[request.priority])) {
       return this.#failure(
         ResultCodes.QUEUE_FULL,
@@ -79,6 +88,11 @@
     return undefined;
   }
 
+  /** Monotonic ms until which the statement may stay in the queue. */
+  stayUntil({ priority, deadline }: ConnectionRequest): number {
+    return Math.min(deadline, performance.now() + STAY_MAX_MS[priority]);
+  }
+
   /** The failure of a statement that has waited to its deadline. */
   deadlineFailure(): Failure {
     return this.#failure(
@@ -87,6 +101,10 @@
     );
   }
 
+  #expectedWait(ahead: number, connections: number): number {
+    return this.#serviceTime.mean * ahead / Math.max(1, connections);
+  }
+
   #failure(code: ResultCode, message: string): Failure {
     this.#shed += 1;
     const now = performance.now();
--- a/src/plugins/connections/connections.ts
+++ b/src/plugins/connections/connections.ts
@@ -24,7 +24,7 @@
   readonly id: number;
   readonly database: string;
   readonly instance: string;
-  /** The connected socket; the borrower reads and writes whole messages. */
+  /** The connected socket, paused and without reader; the borrower reads and writes whole messages. */
   readonly socket: Socket;
   /** Process id and secret of the upstream for cancel requests. */
   readonly processId: number;
--- a/src/plugins/connections/instance_pool.ts
+++ b/src/plugins/connections/instance_pool.ts
@@ -217,10 +217,10 @@
     return this.admission.refusal(request, this.#queue, this.#open.size);
   }
 
-  #wait({ priority, deadline }: ConnectionRequest): Promise<Loan> {
+  #wait(request: ConnectionRequest): Promise<Loan> {
     const loan = this.#queue.wait(
-      priority,
-      deadline,
+      request.priority,
+      this.admission.stayUntil(request),
       () => err(this.admission.deadlineFailure()),
     );
     this.demand.note(this.load);
--- a/src/plugins/connections/waiting_queue.ts
+++ b/src/plugins/connections/waiting_queue.ts
@@ -13,10 +13,11 @@
 
 /** Queue of waiters; whoever uses it bounds it through `displace`. */
 export class WaitingQueue<T> {
-  readonly #classes: Readonly<Record<Priority, Set<Settle<T>>>> = {
-    high: new Set(),
-    normal: new Set(),
-    low: new Set(),
+  /** The waiters of each class in order of arrival, with the monotonic ms of it. */
+  readonly #classes: Readonly<Record<Priority, Map<Settle<T>, number>>> = {
+    high: new Map(),
+    normal: new Map(),
+    low: new Map(),
   };
 
   get size(): number {
@@ -34,6 +35,14 @@
     return count;
   }
 
+  /** For how long, in ms, the first waiter of the class has waited. */
+  age(priority: Priority): number {
+    for (const since of this.#classes[priority].values()) {
+      return performance.now() - since;
+    }
+    return 0;
+  }
+
   /** Waits until settled; at the deadline (monotonic ms) with what `expired` gives. */
   wait(
     priority: Priority,
@@ -49,7 +58,7 @@
       const timer = setTimeout(() => {
         if (waiters.delete(settle)) resolve(expired());
       }, deadline - performance.now());
-      waiters.add(settle);
+      waiters.set(settle, performance.now());
     });
   }
 
@@ -57,7 +66,7 @@
   shift(): Settle<T> | undefined {
     for (const priority of ORDER) {
       const waiters = this.#classes[priority];
-      const [first] = waiters;
+      const [first] = waiters.keys();
       if (!first) continue;
       waiters.delete(first);
       return first;
@@ -70,7 +79,7 @@
     for (const item of ORDER.toReversed()) {
       if (item === priority) return undefined;
       const waiters = this.#classes[item];
-      const last = [...waiters].at(-1);
+      const last = [...waiters.keys()].at(-1);
       if (!last) continue;
       waiters.delete(last);
       return last;
@@ -80,7 +89,9 @@
 
   /** Takes out all waiters. */
   clear(): readonly Settle<T>[] {
-    const all = ORDER.flatMap((priority) => [...this.#classes[priority]]);
+    const all = ORDER.flatMap((
+      priority,
+    ) => [...this.#classes[priority].keys()]);
     for (const priority of ORDER) this.#classes[priority].clear();
     return all;
   }
--- /dev/null
+++ b/test/connections_test.ts
@@ -0,0 +1,388 @@
+import { after, afterEach, before, describe, it } from "node:test";
+import { expect } from "earl";
+import { createServer, type Server, type Socket } from "node:net";
+import { once } from "node:events";
+import { type ResultCode, ResultCodes } from "../src/kernel/result_codes.ts";
+import type { Priority } from "../src/plugins/connections/connections.ts";
+import { Group, type GroupInstance } from "./fixtures/group.ts";
+import { PoolProcesses } from "./fixtures/pool_processes.ts";
+import {
+  runQuery,
+  sendQuery,
+  stateOf,
+  Surroundings,
+  type SurroundingsOptions,
+} from "./fixtures/pool_surroundings.ts";
+import { eventually } from "./support/eventually.ts";
+
+const DATABASE = "stock";
+const LIMIT = 20;
+const PATIENCE_MS = 30_000;
+const SHORT_DEADLINE_MS = 200;
+
+describe("connections", () => {
+  let group: Group;
+  let instance: GroupInstance;
+  const started: Surroundings[] = [];
+
+  before(async () => {
+    group = await Group.start({
+      instances: 1,
+      database: DATABASE,
+      network: 60,
+      flags: { connections: LIMIT },
+    });
+    instance = group.primary;
+  });
+  after(() => group.stop());
+  afterEach(async () => {
+    for (const one of started.splice(0)) await one.connections.stop();
+    await eventually(async () => await countConnections() === 0);
+  });
+
+  async function create(
+    options: Partial<SurroundingsOptions> = {},
+  ): Promise<Surroundings> {
+    const surroundings = new Surroundings({
+      proxy: "proxy-1",
+      address: "127.60.9.1",
+      database: DATABASE,
+      instances: [instance],
+      connectionsPerInstance: 1,
+      ...options,
+    });
+    started.push(surroundings);
+    await surroundings.connections.start();
+    return surroundings;
+  }
+
+  function acquire(
+    { connections }: Surroundings,
+    priority: Priority = "normal",
+    patience = PATIENCE_MS,
+  ) {
+    const deadline = performance.now() + patience;
+    const name = instance.name;
+    return connections.acquire({
+      database: DATABASE,
+      instance: name,
+      priority,
+      deadline,
+    });
+  }
+
+  async function lend(surroundings: Surroundings) {
+    return (await acquire(surroundings))._unsafeUnwrap();
+  }
+
+  async function codeOf(loan: ReturnType<typeof acquire>): Promise<ResultCode> {
+    return (await loan)._unsafeUnwrapErr().code;
+  }
+
+  /** Ordinary connections at the instance, found by taking all that are left. */
+  async function countConnections(): Promise<number> {
+    const clients = [];
+    try {
+      for (;;) clients.push(await group.connect(instance));
+    } catch {
+      return LIMIT - clients.length;
+    } finally {
+      await Promise.all(clients.map((client) => client.end()));
+    }
+  }
+
+  describe("a loan", () => {
+    it("is a paused socket on which statements run", async () => {
+      const surroundings = await create();
+      const connection = await lend(surroundings);
+      expect(connection.socket.isPaused()).toEqual(true);
+      expect(await runQuery(connection, "SELECT 'wheel'")).toInclude("wheel");
+      expect(connection.parameters.has("server_version")).toEqual(true);
+      expect(connection.processId !== 0).toEqual(true);
+      connection.release();
+    });
+
+    it("is lent again after its release, without a reader", async () => {
+      const surroundings = await create();
+      const first = await lend(surroundings);
+      await runQuery(first, "SELECT 1");
+      first.release();
+      const second = await lend(surroundings);
+      expect(second.id).toEqual(first.id);
+      expect(second.socket.listenerCount("data")).toEqual(0);
+      second.release();
+    });
+
+    it("is never lent again when its answer was not read", async () => {
+      const surroundings = await create();
+      const first = await lend(surroundings);
+      sendQuery(first, "SELECT 'unread'");
+      await once(first.socket, "readable");
+      first.release();
+      const second = await lend(surroundings);
+      expect(second.id === first.id).toEqual(false);
+      expect(await runQuery(second, "SELECT 2")).not.toInclude("unread");
+      second.release();
+    });
+
+    it("is never lent again when an answer comes after the release", async () => {
+      const surroundings = await create();
+      const first = await lend(surroundings);
+      sendQuery(first, "SELECT 'late'");
+      first.release();
+      await eventually(() => first.socket.destroyed);
+      const second = await lend(surroundings);
+      expect(await runQuery(second, "SELECT 2")).not.toInclude("late");
+      second.release();
+    });
+
+    it("that is destroyed makes room for a new one", async () => {
+      const surroundings = await create();
+      const first = await lend(surroundings);
+      const waiting = lend(surroundings);
+      first.destroy();
+      const second = await waiting;
+      expect(second.id === first.id).toEqual(false);
+      second.release();
+    });
+
+    it("can be cancelled", async () => {
+      const surroundings = await create();
+      const connection = await lend(surroundings);
+      const answer = runQuery(connection, "SELECT pg_sleep(20)");
+      await new Promise((resolve) => setTimeout(resolve, SHORT_DEADLINE_MS));
+      await surroundings.connections.cancel(connection);
+      expect(await answer).toInclude("57014");
+      connection.release();
+    });
+  });
+
+  describe("the queue", () => {
+    it("serves by priority, then first come", async () => {
+      const surroundings = await create();
+      const held = await lend(surroundings);
+      const order: string[] = [];
+      const waiters = (["low", "normal", "high", "low", "high"] as const)
+        .map(async (priority, index) => {
+          const connection = (await acquire(surroundings, priority))
+            ._unsafeUnwrap();
+          order.push(`${priority} ${index}`);
+          connection.release();
+        });
+      held.release();
+      await Promise.all(waiters);
+      expect(order).toEqual(["high 2", "high 4", "normal 1", "low 0", "low 3"]);
+    });
+
+    it("refuses at the deadline", async () => {
+      const surroundings = await create();
+      const held = await lend(surroundings);
+      const code = await codeOf(
+        acquire(surroundings, "high", SHORT_DEADLINE_MS),
+      );
+      expect(code).toEqual(ResultCodes.QUEUE_DEADLINE);
+      expect(surroundings.connections.outstanding(DATABASE, instance.name))
+        .toEqual(1);
+      held.release();
+    });
+
+    it("when full refuses the last of the lowest class", async () => {
+      const surroundings = await create({ queueLength: 2 });
+      const held = await lend(surroundings);
+      const low = acquire(surroundings, "low");
+      const last = acquire(surroundings, "low");
+      expect(await codeOf(acquire(surroundings, "low")))
+        .toEqual(ResultCodes.QUEUE_FULL);
+      const high = acquire(surroundings, "high");
+      expect(await codeOf(last)).toEqual(ResultCodes.QUEUE_FULL);
+      held.release();
+      (await high)._unsafeUnwrap().release();
+      (await low)._unsafeUnwrap().release();
+    });
+
+    it("refuses at once what it expects to miss its deadline", async () => {
+      const surroundings = await create();
+      const slow = await lend(surroundings);
+      await new Promise((resolve) =>
+        setTimeout(resolve, 2 * SHORT_DEADLINE_MS)
+      );
+      slow.release();
+      const held = await lend(surroundings);
+      const waiting = acquire(surroundings, "high");
+      const asked = performance.now();
+      const code = await codeOf(
+        acquire(surroundings, "high", SHORT_DEADLINE_MS),
+      );
+      expect(code).toEqual(ResultCodes.QUEUE_FULL);
+      expect(performance.now() - asked < SHORT_DEADLINE_MS).toEqual(true);
+      held.release();
+      (await waiting)._unsafeUnwrap().release();
+    });
+  });
+
+  describe("an instance that is full", () => {
+    it("is no error of the caller: the statement waits for a free one", async () => {
+      const others = [];
+      for (let index = 0; index < LIMIT; index += 1) {
+        others.push(await group.connect(instance));
+      }
+      const surroundings = await create({ connectionsPerInstance: LIMIT });
+      let lent = false;
+      const loan = lend(surroundings).finally(() => lent = true);
+      await new Promise((resolve) => setTimeout(resolve, SHORT_DEADLINE_MS));
+      expect(lent).toEqual(false);
+      await Promise.all(others.map((client) => client.end()));
+      (await loan).release();
+      expect(surroundings.reported).toEqual([]);
+    });
+  });
+
+  describe("an instance that can't be reached", () => {
+    it("fails what waits and is reported", async () => {
+      const server = await refusingServer();
+      const { port } = server.address() as { port: number };
+      server.close();
+      await once(server, "close");
+      const gone = { name: instance.name, host: "127.60.8.1", port };
+      const surroundings = await create({ instances: [gone] });
+      expect(await codeOf(acquire(surroundings)))
+        .toEqual(ResultCodes.UPSTREAM_UNREACHABLE);
+      expect(surroundings.reported).toEqual([instance.name]);
+    });
+
+    it("fails within two seconds when it accepts and says nothing", async () => {
+      const sockets: Socket[] = [];
+      const server = await refusingServer((socket) => sockets.push(socket));
+      const { port } = server.address() as { port: number };
+      const silent = { name: instance.name, host: "127.60.8.1", port };
+      const surroundings = await create({ instances: [silent] });
+      const asked = performance.now();
+      expect(await codeOf(acquire(surroundings)))
+        .toEqual(ResultCodes.UPSTREAM_UNREACHABLE);
+      expect(performance.now() - asked < 2_000).toEqual(true);
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    });
+  });
+
+  describe("an instance that leaves", () => {
+    it("gets no new loans once the grace has passed, and lent ones end", async () => {
+      const surroundings = await create();
+      const held = await lend(surroundings);
+      surroundings.leaving.add(instance.name);
+      let refused: ResultCode | undefined;
+      await eventually(async () => {
+        const loan = await acquire(surroundings, "high", 1);
+        refused = loan._unsafeUnwrapErr().code;
+        return refused === ResultCodes.UPSTREAM_UNREACHABLE;
+      });
+      expect(await runQuery(held, "SELECT 'end'")).toInclude("end");
+      held.release();
+      await eventually(() => held.socket.destroyed);
+      surroundings.leaving.clear();
+      await eventually(async () => (await acquire(surroundings)).isOk());
+    });
+
+    it("drains when the document no longer names it", async () => {
+      const surroundings = await create();
+      const held = await lend(surroundings);
+      const waiting = acquire(surroundings);
+      surroundings.group = { ...surroundings.group!, instances: [] };
+      surroundings.changed();
+      expect(await codeOf(waiting)).toEqual(ResultCodes.UPSTREAM_UNREACHABLE);
+      expect(await runQuery(held, "SELECT 'end'")).toInclude("end");
+      held.release();
+      await eventually(() => held.socket.destroyed);
+    });
+  });
+
+  describe("a planned stop", () => {
+    it("refuses new loans and waits for the lent ones", async () => {
+      const surroundings = await create();
+      const held = await lend(surroundings);
+      let drained = false;
+      const drain = surroundings.connections
+        .drain(performance.now() + PATIENCE_MS).then(() => drained = true);
+      expect(await codeOf(acquire(surroundings)))
+        .toEqual(ResultCodes.SHUTTING_DOWN);
+      expect(await runQuery(held, "SELECT 'end'")).toInclude("end");
+      expect(drained).toEqual(false);
+      held.release();
+      await drain;
+    });
+  });
+
+  describe("the share", () => {
+    it("closes idle connections beyond it at once and lent ones as they come back", async () => {
+      const surroundings = await create({ connectionsPerInstance: 4 });
+      const held = [await lend(surroundings), await lend(surroundings)];
+      const { connections } = surroundings;
+      expect(connections.use()[0]!.share).toEqual(4);
+      surroundings.setAlive([
+        ...surroundings.alive,
+        stateOf("proxy-2", [{
+          database: DATABASE,
+          instance: instance.name,
+          wanted: 20,
+        }]),
+      ]);
+      await eventually(() => connections.use()[0]!.share === 1);
+      for (const connection of held) connection.release();
+      await eventually(async () => await countConnections() === 1);
+    });
+
+    it("of a proxy that is not among the holders is 0, and its loans fail at once", async () => {
+      const surroundings = await create({ connectionsPerInstance: 2 });
+      const names = Array.from({ length: 40 }, (_, index) => `other-${index}`);
+      surroundings.setAlive([
+        ...surroundings.alive,
+        ...names.map((name) => stateOf(name, [])),
+      ]);
+      expect(await codeOf(acquire(surroundings)))
+        .toEqual(ResultCodes.UPSTREAM_REFUSED);
+      expect(surroundings.connections.use()[0]!.share).toEqual(0);
+    });
+  });
+
+  describe("several proxies", () => {
+    const processes = new PoolProcesses();
+    afterEach(() => processes.stopAll());
+
+    it("use at least nine tenths of the number and no more than it, and take over a killed one's share", async () => {
+      const names = ["proxy-1", "proxy-2", "proxy-3", "proxy-4"];
+      processes.start(names, {
+        address: "127.60.9.1",
+        database: DATABASE,
+        instances: [{
+          name: instance.name,
+          host: instance.host,
+          port: instance.port,
+        }],
+        connectionsPerInstance: LIMIT,
+      });
+      processes.setCallers("proxy-1", 100);
+      processes.setCallers("proxy-2", 20);
+      processes.setCallers("proxy-3", 2);
+      processes.setCallers("proxy-4", 100);
+      const held = () => processes.sum((report) => report.open);
+      await eventually(() => held() >= 0.9 * LIMIT);
+      expect(held() <= LIMIT).toEqual(true);
+      const before = processes.report("proxy-1").open;
+      await processes.kill("proxy-4");
+      const killed = performance.now();
+      await eventually(() =>
+        processes.report("proxy-1").open > before && held() >= 0.9 * LIMIT
+      );
+      expect(performance.now() - killed < 5_000).toEqual(true);
+      expect(processes.sum((report) => report.failed)).toEqual(0);
+    });
+  });
+});
+
+async function refusingServer(
+  listener: (socket: Socket) => void = () => {},
+): Promise<Server> {
+  const server = createServer(listener).listen(0, "127.60.8.1");
+  await once(server, "listening");
+  return server;
+}
