Load tool: connections, overload, overhead and reads; metrics of connections

Purpose: the figures of the connection budget, of overload and of the proxy's own cost come from one tool over the stack, with callers in processes of their own. Every proxy shows the use of its connections as metrics.

--- a/bench/network.ts
+++ b/bench/network.ts
@@ -5,17 +5,16 @@
  * @module
  */
 import { once } from "node:events";
-import { readFileSync } from "node:fs";
 import { connect, createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { build, type Histogram } from "hdr-histogram-js";
 import { startDaemon } from "../standins/stack/daemon_process.ts";
+import { processorSeconds } from "./load/process_usage.ts";
 
 const CONNECTIONS = 32;
 const MESSAGE = Buffer.alloc(64, "x");
 const RUN_MS = 4_000;
 const LATENCIES_MS = [0, 1, 1.5, 12];
-const CLOCK_TICKS_PER_SECOND = 100;
 
 interface Run {
   readonly latencyMs: number;
@@ -25,12 +24,6 @@
   readonly coreShare: number;
 }
 
-function processorSeconds(pid: number): number {
-  const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
-  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
-  return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_SECOND;
-}
-
 async function exchange(
   port: number,
   until: number,
--- a/bench/proxy_metrics.ts
+++ b/bench/proxy_metrics.ts
@@ -45,3 +45,32 @@
     return "";
   }
 }
+
+const CONNECTIONS =
+  /^marjoramshed_connections_(\w+)\{database="([^"]+)",instance="([^"]+)"\} (\d+)/gm;
+
+/** Use of an instance's connections by all proxies together. */
+export interface InstanceUse {
+  open: number;
+  busy: number;
+  waiting: number;
+  share: number;
+  opened: number;
+}
+
+/** Sums the use of connections of all proxies that answer, by instance. */
+export async function countConnections(
+  proxies: readonly ProxyPlace[],
+): Promise<ReadonlyMap<string, InstanceUse>> {
+  const sums = new Map<string, InstanceUse>();
+  const texts = await Promise.all(proxies.map(readMetrics));
+  for (const text of texts) {
+    for (const [, count, , instance, value] of text.matchAll(CONNECTIONS)) {
+      const sum = sums.get(instance!) ??
+        { open: 0, busy: 0, waiting: 0, share: 0, opened: 0 };
+      sum[count as keyof InstanceUse] += Number(value);
+      sums.set(instance!, sum);
+    }
+  }
+  return sums;
+}
--- a/src/plugins/connections/plugin.ts
+++ b/src/plugins/connections/plugin.ts
@@ -4,13 +4,14 @@
  * @module
  */
 import { registerPlugin } from "../../kernel/kernel.ts";
+import { registerConnectionMetrics } from "./connection_metrics.ts";
 import { SharedConnections } from "./shared_connections.ts";
 
 registerPlugin({
   name: "connections",
-  needs: ["configuration", "health", "membership"],
-  create: ({ settings, log, use }) =>
-    new SharedConnections({
+  needs: ["configuration", "health", "membership", "metrics"],
+  create: ({ settings, log, use }) => {
+    const connections = new SharedConnections({
       proxy: settings.name,
       identity: {
         address: settings.address,
@@ -23,5 +24,8 @@
       health: use("health"),
       membership: use("membership"),
       log,
-    }),
+    });
+    registerConnectionMetrics(use("metrics").registry, connections);
+    return connections;
+  },
 });
--- a/src/plugins/connections/upstream_client.ts
+++ b/src/plugins/connections/upstream_client.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { readFile } from "node:fs/promises";
-import { Socket } from "node:net";
+import type { Socket } from "node:net";
 import { ResultAsync } from "neverthrow";
 import pg from "pg";
 import {
@@ -13,6 +13,7 @@
   type Failure,
   ResultCodes,
 } from "../../kernel/result_codes.ts";
+import { BoundSocket } from "../upstream/bound_socket.ts";
 
 /** How to reach and enter an instance. */
 export interface UpstreamTarget {
@@ -85,7 +86,7 @@
     application_name: identity.applicationName,
     connectionTimeoutMillis: OPEN_TIMEOUT_MS,
     ssl: await resolveTls(identity),
-    stream: () => createSocket(identity.address),
+    stream: () => new BoundSocket(identity.address),
   });
   const wire = client as unknown as WireClient;
   const parameters = new Map<string, string>();
@@ -120,7 +121,7 @@
   const ssl = await resolveTls(identity);
   const connection = new pg.Connection({
     ssl,
-    stream: () => createSocket(identity.address),
+    stream: () => new BoundSocket(identity.address),
   }) as WireConnection;
   await new Promise<void>((resolve) => {
     const timer = setTimeout(resolve, CANCEL_TIMEOUT_MS);
@@ -143,16 +144,6 @@
   return { ca: await readFile(identity.authority, "utf8") };
 }
 
-/** A socket that connects from the given address. */
-function createSocket(localAddress: string): Socket {
-  const socket = new Socket();
-  const connect = socket.connect.bind(socket);
-  const connectFrom = (port: number, host: string) =>
-    connect({ port, host, localAddress });
-  socket.connect = connectFrom as Socket["connect"];
-  return socket;
-}
-
 function openingFailure(target: UpstreamTarget, error: unknown): Failure {
   const sqlState = (error as { readonly code?: unknown }).code;
   const message = error instanceof Error ? error.message : String(error);
