Connections: demand is the mean load; the expected wait counts the whole share

And the first statements of a burst were refused, since the expected wait counted only the connections that were open by then, not those about to open.

Demand is now the load's mean over time; waiting statements raise it.

--- a/bench/connections.ts
+++ b/bench/connections.ts
@@ -83,11 +83,24 @@
   const runs = fleets.map((fleet) => fleet.run().catch(() => undefined));
   await sampleFor(proxies, 2 * steadyMs, samples);
   const steady = samples.slice(Math.floor(samples.length / 2));
+  const byProxy = await describeProxies(proxies);
   options.report(`killing ${proxies[0]!.name}`);
   await stack.process(proxies[0]!.name).kill();
   const takeoverMs = await takeover(proxies.slice(1));
   const tallies = await Promise.all(runs);
-  return summarize(steady, takeoverMs, tallies.slice(1));
+  const result = summarize(steady, takeoverMs, tallies.slice(1));
+  return { ...result, summary: { ...result.summary, byProxy } };
+}
+
+/** Use of each instance's connections by each proxy at one moment. */
+async function describeProxies(
+  proxies: readonly ProxyPlace[],
+): Promise<Readonly<Record<string, Record<string, InstanceUse>>>> {
+  const entries = await Promise.all(proxies.map(async (proxy) => {
+    const uses = Object.fromEntries(await countConnections([proxy]));
+    return [proxy.name, uses] as const;
+  }));
+  return Object.fromEntries(entries);
 }
 
 async function sampleFor(
@@ -138,17 +151,14 @@
       opensPerSecond: round(opened / seconds),
     };
   });
-  const failed = tallies.reduce(
-    (sum, tally) => sum + (tally?.total((kind) => kind.failed) ?? 0),
-    0,
-  );
+  const errors = tallies.map((tally) => tally?.kind(READ.name).errors ?? {});
   const done = tallies.reduce(
     (sum, tally) => sum + (tally?.total((kind) => kind.done) ?? 0),
     0,
   );
   return {
     rows,
-    summary: { bench: "connections", rows, takeoverMs, done, failed },
+    summary: { bench: "connections", rows, takeoverMs, done, errors },
   };
 }
 
--- a/src/plugins/connections/demand_meter.ts
+++ b/src/plugins/connections/demand_meter.ts
@@ -1,6 +1,8 @@
 /**
- * The smoothed demand for connections to one instance: quick to rise, slow to
- * fall, so that what proxies tell each other changes seldom.
+ * The smoothed demand for connections to one instance: the mean of the load
+ * over time. A peak is left out on purpose, since what a proxy holds for its
+ * peaks stands idle between them while others wait; statements that wait raise
+ * the mean by themselves.
  *
  * @module
  */
@@ -9,10 +11,10 @@
 export const DEMAND_SAMPLE_MS = 250;
 
 const RISE_FACTOR = 0.5;
-const FALL_FACTOR = 0.05;
+const FALL_FACTOR = 0.2;
 
 /** A demand below this counts as none. */
-const NEGLIGIBLE = 0.2;
+const NEGLIGIBLE = 0.1;
 
 /** A change of the published demand below this part of it is kept back. */
 const PUBLISHED_CHANGE_PART = 0.2;
@@ -20,22 +22,32 @@
 
 /** Meter of one instance. */
 export class DemandMeter {
-  #peak = 0;
+  #load = 0;
+  #since = performance.now();
+  #sampledAt = this.#since;
+  /** Integral of the load over time since the last sample. */
+  #area = 0;
   #smoothed = 0;
   #published = 0;
 
-  /** Notes connections in use and statements that wait. */
-  note(load: number): void {
-    if (load > this.#peak) this.#peak = load;
+  /** Notes a change of the load: connections in use and statements that wait. */
+  note(load: number, now = performance.now()): void {
+    this.#area += this.#load * (now - this.#since);
+    this.#since = now;
+    this.#load = load;
   }
 
-  /** Ends a sample interval; `load` is the present load. */
-  sample(load: number): void {
-    const peak = Math.max(this.#peak, load);
-    const factor = peak > this.#smoothed ? RISE_FACTOR : FALL_FACTOR;
-    this.#smoothed += (peak - this.#smoothed) * factor;
+  /** Ends a sample interval. */
+  sample(now = performance.now()): void {
+    this.note(this.#load, now);
+    const elapsed = now - this.#sampledAt;
+    if (elapsed <= 0) return;
+    const mean = this.#area / elapsed;
+    const factor = mean > this.#smoothed ? RISE_FACTOR : FALL_FACTOR;
+    this.#smoothed += (mean - this.#smoothed) * factor;
     if (this.#smoothed < NEGLIGIBLE) this.#smoothed = 0;
-    this.#peak = load;
+    this.#area = 0;
+    this.#sampledAt = now;
   }
 
   /** The smoothed demand in whole connections. */
--- a/src/plugins/connections/instance_pool.ts
+++ b/src/plugins/connections/instance_pool.ts
@@ -65,8 +65,8 @@
     this.admission = new Admission(
       options.target.instance,
       options.queueLength,
-      (code, count) =>
-        this.#log(Events.LOAD_SHED, { code: code.number, count }),
+      ({ number }, count) =>
+        this.#log(Events.LOAD_SHED, { code: number, count }),
     );
     this.#opener = new Opener({
       open: options.open,
@@ -84,6 +84,12 @@
     return this.#busy.size + this.#queue.size;
   }
 
+  /** Connections that will serve the queue: the share, unless the instance refuses to open them. */
+  get #expectedOpen(): number {
+    if (this.#opener.paused) return this.#open.size;
+    return Math.max(this.#open.size, this.#share);
+  }
+
   /** Connections that count at the instance, those that open or end included. */
   get #held(): number {
     return this.#open.size + this.#ending.size + this.#opener.pending;
@@ -147,7 +153,7 @@
 
   /** Regular upkeep: the demand is sampled and an idle surplus closed, one at a time. */
   maintain(now: number): void {
-    this.demand.sample(this.load);
+    this.demand.sample(now);
     if (this.#open.size > WARM_CONNECTIONS) {
       const unused = this.#idle.shiftUnused(now - IDLE_TIMEOUT_MS);
       if (unused) this.#end(unused);
@@ -164,9 +170,10 @@
     connection.usedAt = now;
     if (this.#closedFor || this.#open.size > this.#share) {
       this.#end(connection);
-      return;
+    } else {
+      this.#offer(connection);
     }
-    this.#offer(connection);
+    this.demand.note(this.load, now);
   }
 
   closed(connection: PooledConnection): void {
@@ -174,6 +181,7 @@
     this.#ending.delete(connection);
     this.#busy.delete(connection);
     if (this.#idle.remove(connection)) this.#options.onFailure();
+    this.demand.note(this.load);
     this.#log(Events.CONNECTION_CLOSED, { connection: connection.id });
     this.#openForWaiters();
   }
@@ -197,7 +205,7 @@
   #lend(connection: PooledConnection): void {
     this.#busy.add(connection);
     connection.lend();
-    this.demand.note(this.load);
+    this.demand.note(this.load, connection.usedAt);
   }
 
   #refusal(request: ConnectionRequest): Failure | undefined {
@@ -214,19 +222,24 @@
         `${instance} could not be reached a moment ago`,
       );
     }
-    return this.admission.refusal(request, this.#queue, this.#open.size);
+    return this.admission.refusal(request, this.#queue, this.#expectedOpen);
   }
 
   #wait(request: ConnectionRequest): Promise<Loan> {
     const loan = this.#queue.wait(
       request.priority,
       this.admission.stayUntil(request),
-      () => err(this.admission.deadlineFailure()),
+      () => this.#expired(),
     );
     this.demand.note(this.load);
     return loan;
   }
 
+  #expired(): Loan {
+    this.demand.note(this.load);
+    return err(this.admission.deadlineFailure());
+  }
+
   #openForWaiters(): void {
     while (this.#opener.pending < this.#queue.size && this.#mayOpen()) {
       this.#opener.open();
@@ -279,14 +292,9 @@
     for (const waiter of this.#queue.clear()) waiter(err(failure));
   }
 
-  #log(
-    kind: EventKind,
-    fields: EventFields,
-  ): void {
-    const { log, target } = this.#options;
-    if (!log.enabled(kind)) return;
-    const { database, instance } = target;
-    log.write(kind, { database, instance, ...fields });
+  #log(kind: EventKind, fields: EventFields): void {
+    const { database, instance } = this.target;
+    this.#options.log.write(kind, { database, instance, ...fields });
   }
 }
 
