--- a/src/plugins/callers/caller_listener.ts
+++ b/src/plugins/callers/caller_listener.ts
@@ -25,6 +25,8 @@
 import { createSessionState } from "./startup_parameters.ts";
 
 const HANDSHAKE_TIMEOUT_MS = 10_000;
+/** How long a caller may take to close its side after its session has ended. */
+const CLOSE_TIMEOUT_MS = 1_000;
 const MAX_INT32 = 0x7fffffff;
 /** How often a drain looks whether all sessions have ended, in ms. */
 const DRAIN_POLL_MS = 20;
@@ -182,11 +184,20 @@
     });
     if (this.#draining) session.drain();
     await session.run();
+    await this.#closed(socket);
     this.#sessions.delete(id);
     this.#context.metrics.callers(this.#sessions.size);
     this.#context.log.write(Events.CALLER_DISCONNECTED, { session: id });
   }
 
+  /** Waits until the caller has closed its side too, so that it has read its last answer. */
+  async #closed(socket: Socket): Promise<void> {
+    if (socket.closed) return;
+    const timer = setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MS);
+    await new Promise<void>((resolve) => socket.once("close", () => resolve()));
+    clearTimeout(timer);
+  }
+
   #refusal(): Failure | undefined {
     if (this.#draining) {
       return createFailure(ResultCodes.SHUTTING_DOWN, "the proxy is stopping");
--- a/src/plugins/callers/session.ts
+++ b/src/plugins/callers/session.ts
@@ -93,6 +93,8 @@
       this.#held?.exchange.finish(false);
       this.#held = undefined;
       this.#reader.detach();
+      // What the caller still sends is read away: unread bytes would reset the connection under its last answer.
+      this.#socket.resume();
       this.#socket.end();
     }
   }
