Tests of the database instance; a failed batch no longer swallows the next one

Real processes with pg and postgres as clients: queries, pipelining, names and settings kept apart, refusals, rollback on drop, cancel, connection limit, replication with both lags, fence, promote, follow, discarded tail, serials, restart of a killed replica.

Found by the tests: after an error in an extended batch the mark to skip until Sync was set again by the segment that holds the Sync, so the next batch was skipped without an error. The engine is now called through its streaming form, which leaves out its own parsing of each answer.

--- a/standins/instance/engine.ts
+++ b/standins/instance/engine.ts
@@ -43,8 +43,18 @@
 
   /** Runs messages of the protocol and gives the answers. */
   execute(messages: Buffer): Buffer {
-    const answer = this.#database.execProtocolRawSync(messages);
-    return Buffer.from(answer.buffer, answer.byteOffset, answer.byteLength);
+    const chunks: Buffer[] = [];
+    const onRawData = (data: Uint8Array) => {
+      chunks.push(Buffer.from(data));
+    };
+    // Calls onRawData for the whole answer before it returns its promise.
+    this.#database.execProtocolRawStream(messages, {
+      syncToFs: false,
+      onRawData,
+    }).catch((error) => {
+      throw error;
+    });
+    return Buffer.concat(chunks);
   }
 
   /** Runs a simple query and gives the rows of all its statements; throws on an error. */
--- a/standins/instance/extended_query.ts
+++ b/standins/instance/extended_query.ts
@@ -66,13 +66,13 @@
 
   #sync(): void {
     const { access } = this.#context;
-    this.#failed = false;
     if (access.held) {
       this.#segment.push(createMessage("S"));
       this.#runSegment();
-      return;
+    } else {
+      this.#output.push(access.ready);
     }
-    this.#output.push(access.ready);
+    this.#failed = false;
   }
 
   async #runOne(message: Message): Promise<void> {
--- /dev/null
+++ b/test/instance_test.ts
@@ -0,0 +1,455 @@
+import { after, before, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "earl";
+import type pg from "pg";
+import postgres from "postgres";
+import { ACCOUNT, Group, type GroupInstance } from "./fixtures/group.ts";
+import { eventually } from "./support/eventually.ts";
+
+const INIT_SQL = `
+CREATE TABLE booking (
+  id serial PRIMARY KEY, shop text, at timestamptz DEFAULT now(),
+  draw float8 DEFAULT random());
+CREATE TABLE note (kind int, body text);
+`;
+const SHORT_MS = 500;
+
+async function failureOf(work: Promise<unknown>): Promise<string> {
+  try {
+    await work;
+    return "none";
+  } catch (error) {
+    return String((error as { code?: string }).code);
+  }
+}
+
+/** All rows of a table, as text. */
+async function contents(
+  group: Group,
+  instance: GroupInstance,
+  table: string,
+): Promise<string[]> {
+  const client = await group.connect(instance);
+  try {
+    const sql = `SELECT t::text AS row FROM ${table} t ORDER BY 1`;
+    return (await client.query(sql)).rows.map(({ row }) => row);
+  } finally {
+    await client.end();
+  }
+}
+
+describe("database instance", () => {
+  describe("as a server", () => {
+    let group: Group;
+    let client: pg.Client;
+    let other: pg.Client;
+    before(async () => {
+      group = await Group.start({
+        instances: 1,
+        initSql: INIT_SQL,
+        network: 41,
+        flags: { connections: 5, idleTransactionLimit: 1_000 },
+      });
+      client = await group.connect(group.primary);
+      other = await group.connect(group.primary);
+    });
+    after(() => group.stop());
+
+    it("answers simple and extended queries of pg", async () => {
+      expect((await client.query("SELECT 1 AS a")).rows).toEqual([{ a: 1 }]);
+      const sql = "SELECT $1::text AS a, $2::int AS b";
+      const { rows } = await client.query(sql, ["č", 2]);
+      expect(rows).toEqual([{ a: "č", b: 2 }]);
+    });
+
+    it("answers pipelined queries of postgres with named statements", async () => {
+      const { host, port } = group.primary;
+      const sql = postgres({
+        ...ACCOUNT,
+        host,
+        port,
+        database: group.database,
+        max: 1,
+        onnotice: () => {},
+      });
+      try {
+        const queries = Array.from(
+          { length: 50 },
+          (_, n) => sql`SELECT ${n}::int AS n`,
+        );
+        const rows = await Promise.all(queries);
+        expect(rows.map(([row]) => row!.n)).toEqual([...rows.keys()]);
+      } finally {
+        await sql.end();
+      }
+    });
+
+    it("passes errors of the engine on and goes on serving", async () => {
+      expect(await failureOf(client.query("SELECT 1/0"))).toEqual("22012");
+      const failing = client.query("SELECT $1::int / 0", [1]);
+      expect(await failureOf(failing)).toEqual("22012");
+      const { rows } = await client.query("SELECT $1::int AS a", [1]);
+      expect(rows).toEqual([{ a: 1 }]);
+    });
+
+    it("keeps named statements of connections apart", async () => {
+      const name = "same";
+      await client.query({ name, text: "SELECT 'a' AS v" });
+      await other.query({ name, text: "SELECT 'b' AS v" });
+      const first = await client.query({ name, text: "SELECT 'a' AS v" });
+      const second = await other.query({ name, text: "SELECT 'b' AS v" });
+      expect([first.rows[0].v, second.rows[0].v]).toEqual(["a", "b"]);
+    });
+
+    it("keeps settings of connections apart", async () => {
+      await client.query("SET TimeZone = 'Asia/Amman'");
+      await client.query("SET app.shop = 'zagreb'");
+      const sql =
+        "SELECT current_setting('TimeZone') z, current_setting('app.shop', true) s";
+      const seen = (await other.query(sql)).rows[0];
+      expect(seen.z).toEqual("UTC");
+      expect(seen.s || null).toEqual(null);
+      const own = (await client.query(sql)).rows[0];
+      expect(own).toEqual({ z: "Asia/Amman", s: "zagreb" });
+      await client.query("DISCARD ALL");
+      expect((await client.query(sql)).rows[0].z).toEqual("UTC");
+    });
+
+    it("refuses what one engine session can't keep apart", async () => {
+      const texts = [
+        "LISTEN a",
+        "SELECT pg_advisory_lock(1)",
+        "CREATE TEMP TABLE t (a int)",
+        "PREPARE p AS SELECT 1",
+        "SELECT lastval()",
+        "COPY note FROM STDIN",
+        "DO $$ BEGIN CREATE TABLE inner_table (a int); END $$",
+      ];
+      for (const text of texts) {
+        expect(await failureOf(client.query(text))).toEqual("0A000");
+        expect(await failureOf(client.query({ name: text, text })))
+          .toEqual("0A000");
+      }
+      const kept = "INSERT INTO note VALUES (9, 'LISTEN, copy x from stdin')";
+      expect(await failureOf(client.query(kept))).toEqual("none");
+    });
+
+    it("runs one transaction at a time", async () => {
+      await client.query("BEGIN");
+      await client.query("INSERT INTO note VALUES (1, 'a')");
+      const count = other.query(
+        "SELECT count(*)::int c FROM note WHERE kind = 1",
+      );
+      await client.query("ROLLBACK");
+      expect((await count).rows).toEqual([{ c: 0 }]);
+    });
+
+    it("rolls back the transaction of a connection that drops", async () => {
+      const dropping = await group.connect(group.primary);
+      await dropping.query("BEGIN");
+      await dropping.query("INSERT INTO note VALUES (2, 'a')");
+      (dropping as unknown as { connection: { stream: { destroy(): void } } })
+        .connection.stream.destroy();
+      const sql = "SELECT count(*)::int c FROM note WHERE kind = 2";
+      expect((await other.query(sql)).rows).toEqual([{ c: 0 }]);
+    });
+
+    it("ends an idle transaction that others wait for", async () => {
+      const idle = await group.connect(group.primary);
+      await idle.query("BEGIN");
+      const { rows } = await other.query("SELECT 1 AS a");
+      expect(rows).toEqual([{ a: 1 }]);
+      expect(await failureOf(idle.query("SELECT 1"))).not.toEqual("none");
+    });
+
+    it("runs a text that mixes schema changes as one transaction", async () => {
+      const text = "CREATE TABLE half (a int); INSERT INTO half VALUES (1/0)";
+      expect(await failureOf(client.query(text))).toEqual("22012");
+      expect(await failureOf(client.query("TABLE half"))).toEqual("42P01");
+    });
+
+    it("cancels a statement that sleeps, and no later one", async () => {
+      const sleeping = client.query("SELECT pg_sleep(60)");
+      const failure = failureOf(sleeping);
+      await sleep(SHORT_MS);
+      const { processID, secretKey } = client as unknown as {
+        processID: number;
+        secretKey: number;
+      };
+      const { default: library } = await import("pg");
+      const canceller = () => {
+        const { host, port } = group.primary;
+        const one = new library.Connection() as unknown as {
+          connect(port: number, host: string): void;
+          on(event: string, listener: () => void): void;
+          cancel(id: number, key: number): void;
+        };
+        one.on("connect", () => one.cancel(processID, secretKey));
+        one.connect(port, host);
+      };
+      canceller();
+      expect(await failure).toEqual("57014");
+      canceller();
+      expect((await client.query("SELECT 1 AS a")).rows).toEqual([{ a: 1 }]);
+    });
+
+    it("streams a large result whole", async () => {
+      const sql =
+        "SELECT n, repeat('x', 1000) t FROM generate_series(1, 20000) n";
+      const { rows } = await client.query(sql);
+      expect(rows.length).toEqual(20_000);
+      expect(rows.at(-1).n).toEqual(20_000);
+    });
+
+    it("refuses ordinary connections over the limit, not control ones", async () => {
+      const opened: pg.Client[] = [];
+      let failure = "none";
+      while (failure === "none" && opened.length < 10) {
+        const opening = group.connect(group.primary);
+        failure = await failureOf(opening.then((one) => opened.push(one)));
+      }
+      expect(failure).toEqual("53300");
+      expect(opened.length <= 3).toEqual(true);
+      expect((await group.status(group.primary)).role).toEqual("primary");
+      await Promise.all(opened.map((one) => one.end()));
+      await eventually(async () => {
+        const one = await group.connect(group.primary).catch(() => undefined);
+        await one?.end();
+        return one !== undefined;
+      });
+    });
+
+    it("gives the position of a commit pipelined behind it", async () => {
+      const text = "SELECT * FROM marjoramshed_position()";
+      const start = (await client.query(text)).rows[0];
+      const { host, port } = group.primary;
+      const { database } = group;
+      const sql = postgres({ ...ACCOUNT, host, port, database, max: 1 });
+      const [, , , [end]] = await Promise.all([
+        sql`BEGIN`.simple(),
+        sql`INSERT INTO note VALUES (3, 'a')`,
+        sql`COMMIT`.simple(),
+        sql.unsafe(text),
+      ]).finally(() => sql.end());
+      if (!end) throw new Error("no position");
+      expect(end.term).toEqual("1");
+      expect(BigInt(end.lsn) > BigInt(start.lsn)).toEqual(true);
+      const { received } = await group.status(group.primary);
+      expect(end.lsn).toEqual(received);
+    });
+  });
+
+  describe("as a member of a group", () => {
+    let group: Group;
+    before(async () => {
+      group = await Group.start({ initSql: INIT_SQL, network: 42 });
+    });
+    after(() => group.stop());
+
+    async function run(instance: GroupInstance, ...texts: string[]) {
+      const client = await group.connect(instance);
+      try {
+        for (const text of texts) await client.query(text);
+      } finally {
+        await client.end();
+      }
+    }
+
+    async function expectSame(primary: GroupInstance, tables: string[]) {
+      await group.converged(primary);
+      for (const table of tables) {
+        const wanted = await contents(group, primary, table);
+        for (const instance of group.instances) {
+          if (!instance.process.running) continue;
+          expect(await contents(group, instance, table)).toEqual(wanted);
+        }
+      }
+    }
+
+    it("gives replicas the same rows, also of now(), random() and serials", async () => {
+      await run(
+        group.primary,
+        "INSERT INTO booking (shop) VALUES ('a'), ('b'), (NULL)",
+        "UPDATE booking SET draw = random(), shop = 'it''s (x,\"y\\z\")' WHERE id = 2",
+        "INSERT INTO note VALUES (1, 'x'), (1, 'x'), (2, NULL)",
+        "DELETE FROM note WHERE ctid = (SELECT min(ctid) FROM note)",
+        "UPDATE note SET body = 'y' WHERE kind = 2",
+        "BEGIN; INSERT INTO note VALUES (4, 'a'); SAVEPOINT s; DELETE FROM note; ROLLBACK TO s; COMMIT",
+      );
+      await expectSame(group.primary, ["booking", "note"]);
+    });
+
+    it("gives replicas the same schema changes", async () => {
+      await run(
+        group.primary,
+        "CREATE TABLE made AS SELECT n, random() r FROM generate_series(1, 3) n; INSERT INTO made VALUES (4, 0)",
+        "ALTER TABLE made ADD COLUMN at timestamptz DEFAULT clock_timestamp()",
+        "ALTER TABLE made ADD COLUMN twice int GENERATED ALWAYS AS (n * 2) STORED",
+        "CREATE TABLE counted (id int GENERATED ALWAYS AS IDENTITY PRIMARY KEY, a int[])",
+        "INSERT INTO counted (a) VALUES ('{1,2}'), (NULL)",
+        "CREATE TABLE emptied AS SELECT 1 AS a",
+        "TRUNCATE emptied",
+      );
+      await expectSame(group.primary, ["made", "counted", "emptied"]);
+    });
+
+    it("refuses writes on a replica with 25006", async () => {
+      const [, replica] = group.instances;
+      const insert = "INSERT INTO note VALUES (1, 'a')";
+      expect(await failureOf(run(replica!, insert))).toEqual("25006");
+      expect(await failureOf(run(replica!, "CREATE TABLE x (a int)")))
+        .toEqual("25006");
+      expect(
+        await failureOf(run(replica!, `BEGIN READ WRITE; ${insert}; COMMIT`)),
+      )
+        .toEqual("25006");
+    });
+
+    it("tells received from applied under an apply lag", async () => {
+      const [, replica] = group.instances;
+      await group.control(
+        replica!,
+        "SELECT * FROM marjoramshed_lag(0, 600000)",
+      );
+      const start = await group.status(replica!);
+      await run(group.primary, "INSERT INTO note VALUES (5, 'lag')");
+      const { received } = await group.status(group.primary);
+      await eventually(async () =>
+        (await group.status(replica!)).received === received
+      );
+      expect((await group.status(replica!)).applied).toEqual(start.applied);
+      await group.control(replica!, "SELECT * FROM marjoramshed_lag(0, 0)");
+      await group.converged();
+    });
+
+    it("receives late under a receive lag and still hears its source", async () => {
+      const [, replica] = group.instances;
+      await group.control(
+        replica!,
+        "SELECT * FROM marjoramshed_lag(600000, 0)",
+      );
+      const start = await group.status(replica!);
+      await run(group.primary, "INSERT INTO note VALUES (6, 'lag')");
+      await sleep(SHORT_MS);
+      const late = await group.status(replica!);
+      expect(late.received).toEqual(start.received);
+      expect(late.hears_source).toEqual(true);
+      await group.control(replica!, "SELECT * FROM marjoramshed_lag(0, 0)");
+      await group.converged();
+    });
+
+    it("hears nothing from a source that is frozen", async () => {
+      const [primary, replica] = group.instances;
+      primary!.process.freeze();
+      await eventually(async () =>
+        !(await group.status(replica!)).hears_source
+      );
+      primary!.process.resume();
+      await eventually(async () => (await group.status(replica!)).hears_source);
+    });
+
+    it("fences, promotes and follows; the former primary's tail is discarded", async () => {
+      const [first, second, third] = group.instances as [
+        GroupInstance,
+        GroupInstance,
+        GroupInstance,
+      ];
+      await run(first, "INSERT INTO booking (shop) VALUES ('kept')");
+      await group.converged();
+      const open = await group.connect(second);
+      await open.query("BEGIN");
+      for (const one of [second, third]) {
+        await group.control(one, "SELECT * FROM marjoramshed_fence(2)");
+      }
+      expect(await failureOf(open.query("SELECT 1"))).not.toEqual("none");
+      const again = group.control(
+        second,
+        "SELECT * FROM marjoramshed_fence(2)",
+      );
+      expect(await failureOf(again)).toEqual("55000");
+      const early = group.control(
+        second,
+        "SELECT * FROM marjoramshed_promote(3)",
+      );
+      expect(await failureOf(early)).toEqual("55000");
+
+      await run(first, "INSERT INTO booking (shop) VALUES ('lost')");
+      const fenced = await group.status(third);
+      expect(fenced.received === (await group.status(first)).received)
+        .toEqual(false);
+
+      const promoted = await group.control<{ role: string; last_term: string }>(
+        second,
+        "SELECT * FROM marjoramshed_promote(2)",
+      );
+      expect([promoted.role, promoted.last_term]).toEqual(["primary", "2"]);
+      const follow =
+        `SELECT * FROM marjoramshed_follow('${second.name}', '${second.host}', ${second.port}, 2)`;
+      await group.control(third, follow);
+      await group.control(first, follow);
+      await run(second, "INSERT INTO booking (shop) VALUES ('new')");
+      await expectSame(second, ["booking", "note", "made", "counted"]);
+      const shops = await contents(group, first, "booking");
+      expect(shops.some((row) => row.includes("lost"))).toEqual(false);
+      expect(shops.filter((row) => /kept|new/.test(row)).length).toEqual(2);
+    });
+
+    it("hands out no used serial after a promotion", async () => {
+      const [, second, third] = group.instances;
+      await run(
+        second!,
+        "INSERT INTO booking (id, shop) VALUES (DEFAULT, 'gone')",
+      );
+      await run(second!, "DELETE FROM booking WHERE shop = 'gone'");
+      const used = await group.connect(second!);
+      const { rows: [last] } = await used.query(
+        "SELECT nextval('booking_id_seq')::int AS id",
+      );
+      await group.converged(second);
+      await group.control(third!, "SELECT * FROM marjoramshed_fence(3)");
+      await group.control(third!, "SELECT * FROM marjoramshed_promote(3)");
+      const client = await group.connect(third!);
+      const { rows: [next] } = await client.query(
+        "INSERT INTO booking (shop) VALUES ('next') RETURNING id",
+      );
+      expect(next.id > last.id).toEqual(true);
+      await client.end();
+    });
+
+    it("commits nothing at an instance that was fenced in the transaction", async () => {
+      const [, , third] = group.instances;
+      const client = await group.connect(third!);
+      await client.query("BEGIN");
+      await client.query("INSERT INTO booking (shop) VALUES ('fenced')");
+      await group.control(third!, "SELECT * FROM marjoramshed_fence(4)");
+      expect(await failureOf(client.query("COMMIT"))).not.toEqual("none");
+      const shops = await contents(group, third!, "booking");
+      expect(shops.some((row) => row.includes("fenced"))).toEqual(false);
+    });
+
+    it("rebuilds a replica that was killed and started again", async () => {
+      const [first, second, third] = group.instances;
+      await group.control(third!, "SELECT * FROM marjoramshed_promote(4)");
+      await first!.process.kill();
+      await group.startInstance(0, third);
+      const follow = `SELECT * FROM marjoramshed_follow('x', '${
+        third!.host
+      }', ${third!.port}, 4)`;
+      await group.control(second!, follow);
+      await expectSame(third!, ["booking", "note", "made", "counted"]);
+    });
+
+    it("refuses to fence an instance that holds no copy of the log yet", async () => {
+      await group.startInstance(3, {
+        ...group.primary,
+        host: "127.42.9.9",
+        name: "absent",
+      });
+      const fence = group.control(
+        group.instances[3]!,
+        "SELECT * FROM marjoramshed_fence(9)",
+      );
+      expect(await failureOf(fence)).toEqual("57P03");
+    });
+  });
+});
