Failover: fence and promote over the connection that is open

Cause: with 12 ms one way between zones the opening of a connection for orders took most of fencing (110 to 180 ms), the next proposer began meanwhile, both fenced the same term, and neither had a majority. Ranks are now 100 ms apart, above fencing plus one look.

--- a/src/plugins/failover/group_failover.ts
+++ b/src/plugins/failover/group_failover.ts
@@ -31,7 +31,7 @@
 const PATIENCE_MS: Readonly<Record<SuspicionReason, number>> = {
   silent: 0,
   isolated: 1_000,
-  absent: 100,
+  absent: 0,
 };
 /** Time that a promotion has to be withheld before it is logged. */
 const WITHHELD_MS = 500;
@@ -39,8 +39,8 @@
 const PROPOSAL_GRACE_MS = 300;
 const PROPOSAL_JITTER_MS = 150;
 /** Delay for each place in the order of proposers, and its random part. */
-const RANK_DELAY_MS = 60;
-const RANK_JITTER_MS = 40;
+const RANK_DELAY_MS = 100;
+const RANK_JITTER_MS = 50;
 /** Random delay of a proxy that knows of no other. */
 const ALONE_JITTER_MS = 150;
 /** Time that a planned change has to be wanted, further time for each rank, and pause after a change. */
--- a/src/plugins/upstream/postgres_database_group.ts
+++ b/src/plugins/upstream/postgres_database_group.ts
@@ -20,8 +20,8 @@
   InstanceStatus,
 } from "./database_group.ts";
 
-/** Idle time after which a connection for orders is closed. */
-const ORDER_IDLE_TIMEOUT_MS = 10_000;
+/** Idle time after which a connection for orders to follow is closed. */
+const FOLLOW_IDLE_TIMEOUT_MS = 10_000;
 
 /** Whose connections these are. */
 export interface PostgresDatabaseGroupOptions {
@@ -35,10 +35,14 @@
   readonly ssl?: ConnectionOptions;
 }
 
-/** Orders run beside the status requests, so that neither delays the other. */
-type Channel = "status" | "order";
+/**
+ * A fence and a promotion take the connection that the status requests keep open: opening one
+ * between regions would take four round trips of the failover. An order to follow may last,
+ * and goes beside the status requests.
+ */
+type Channel = "status" | "follow";
 
-/** Keeps a control connection for the status of each instance, and a second one while orders are given. */
+/** Keeps a control connection to each instance, and a second one while it is told to follow. */
 export class PostgresDatabaseGroup implements DatabaseGroup, Service {
   readonly #options: PostgresDatabaseGroupOptions;
   readonly #connections = new Map<string, ControlConnection>();
@@ -64,7 +68,7 @@
     timeout: number,
   ): ResultAsync<FenceReply, Failure> {
     const text = `SELECT * FROM marjoramshed_fence(${integer(term)})`;
-    const connection = this.#connection(database, instance, "order");
+    const connection = this.#connection(database, instance, "status");
     return request(connection, text, timeout, readFenceReply);
   }
 
@@ -75,7 +79,7 @@
     timeout: number,
   ): ResultAsync<InstanceStatus, Failure> {
     const text = `SELECT * FROM marjoramshed_promote(${integer(term)})`;
-    const connection = this.#connection(database, instance, "order");
+    const connection = this.#connection(database, instance, "status");
     return request(connection, text, timeout, readStatus);
   }
 
@@ -90,7 +94,7 @@
     const text = `SELECT * FROM marjoramshed_follow(${source},${
       integer(term)
     })`;
-    const connection = this.#connection(database, instance, "order");
+    const connection = this.#connection(database, instance, "follow");
     return request(connection, text, timeout, readStatus);
   }
 
@@ -119,7 +123,7 @@
       password,
       applicationName: `marjoramshed-control-${name}`,
       localAddress: address,
-      ...(channel === "order" ? { idleTimeout: ORDER_IDLE_TIMEOUT_MS } : {}),
+      ...(channel === "follow" ? { idleTimeout: FOLLOW_IDLE_TIMEOUT_MS } : {}),
       ...(ssl ? { ssl } : {}),
     });
     this.#connections.set(key, connection);
