--- a/test/failover_test.ts
+++ b/test/failover_test.ts
@@ -57,12 +57,13 @@
   it("replaces a killed primary and keeps what was confirmed", async () => {
     const [p1, p2] = await startProxies(["p1", "p2"]);
     expect(await p1!.primary()).toEqual(primary);
-    const position = await cluster.write(primary);
+    const position = await cluster.write(primary, "confirmed");
     expect(await p2!.confirm(position)).toEqual("confirmed");
     await cluster.process(primary).kill();
     const name = await expectNewPrimary(p2!, primary);
     const status = (await cluster.status(name))!;
     expect(containsPosition(status, status.received, position)).toEqual(true);
+    expect(await cluster.notes(name)).toInclude("confirmed");
   });
 
   it("does without the table service and other members", async () => {
@@ -110,7 +111,7 @@
       to: {},
     }] as const;
     await cluster.setFaults(isolation);
-    const tail = await cluster.write(primary);
+    const tail = await cluster.write(primary, "tail");
     const name = await expectNewPrimary(p2!, primary);
     expect(await p2!.confirm(tail)).toEqual("outcome-unknown");
     await sleep(WATCH_MS);
@@ -118,6 +119,10 @@
     expect(await cluster.settle()).toEqual(name);
     const status = (await cluster.status(primary))!;
     expect(containsPosition(status, status.received, tail)).toEqual(false);
+    await eventually(
+      async () => !(await cluster.notes(primary)).includes("tail"),
+      "the discarded tail is gone",
+    );
     const returned = await Promise.all(
       [p1!, p2!].map((proxy) => proxy.events(Events.FORMER_PRIMARY_RETURNED)),
     );
