Load tool: failover

Purpose: the gap of killed and of isolated primaries as callers see it, with what was lost or doubled. What the demo and this share stands in one module.

The parts (detection, fencing, promotion) are not measured.

--- a/bench/benchmark.ts
+++ b/bench/benchmark.ts
@@ -12,6 +12,8 @@
   readonly seconds: number;
   /** Number of callers; each benchmark has its own default. */
   readonly callers?: number;
+  /** Number of faults of each kind. */
+  readonly rounds: number;
   /** Tells of progress. */
   readonly report: (text: string) => void;
 }
--- a/bench/booking_caller.ts
+++ b/bench/booking_caller.ts
@@ -50,9 +50,9 @@
     this.#place = index % proxies.length;
   }
 
-  /** Books and reads back until the time is over, in ms of `performance.now()`. */
-  async run(until: number): Promise<void> {
-    for (let number = 1; performance.now() < until; number += 1) {
+  /** Books and reads back until the signal. */
+  async run(end: AbortSignal): Promise<void> {
+    for (let number = 1; !end.aborted; number += 1) {
       const id = `${this.#name}-${number}`;
       if (!await this.#book(id)) continue;
       await this.#move();
--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -8,7 +8,8 @@
  */
 import { parseArgs } from "node:util";
 import { createStack, type Stack } from "../standins/stack/stack.ts";
-import { type Booking, BookingCaller } from "./booking_caller.ts";
+import { BookingCaller } from "./booking_caller.ts";
+import { checkBookings, failoverGap } from "./booking_checks.ts";
 import { countReads, replicaShare } from "./proxy_metrics.ts";
 
 const DATABASE = "booking";
@@ -65,34 +66,6 @@
   return killedAt;
 }
 
-/** Time from the last acknowledgement before the kill to the first one after it. */
-function failoverGap(
-  bookings: readonly Booking[],
-  killedAt: number,
-): number | null {
-  const times = bookings.map((one) => one.acknowledgedAt).sort((a, b) => a - b);
-  const after = times.findIndex((time) => time > killedAt);
-  if (after < 1) return null;
-  // An acknowledgement that was already on its way may still arrive after the kill.
-  const gaps = times.slice(after - 1)
-    .map((time, index, rest) => (rest[index + 1] ?? time) - time);
-  return Math.round(Math.max(...gaps));
-}
-
-async function countStored(
-  stack: Stack,
-): Promise<ReadonlyMap<string, number>> {
-  const primary = await stack.findPrimary(DATABASE);
-  if (!primary) throw new Error(`${DATABASE} has no primary at the end`);
-  const rows = await stack.query(
-    primary.instance.name,
-    "SELECT booking, count(*)::int AS copies FROM bookings GROUP BY booking",
-  );
-  return new Map(
-    rows.map((row) => [String(row["booking"]), Number(row["copies"])]),
-  );
-}
-
 async function runDemo(stack: Stack): Promise<DemoResult> {
   const { user, password, proxies } = stack.describe();
   const account = { user, password, database: DATABASE };
@@ -101,9 +74,9 @@
     (_, index) => new BookingCaller(index, account, proxies),
   );
   const durationMs = Number(flags.seconds) * 1_000;
-  const startedAt = performance.now();
   const progress = showProgress(callers);
-  const runs = callers.map((caller) => caller.run(startedAt + durationMs));
+  const end = AbortSignal.timeout(durationMs);
+  const runs = callers.map((caller) => caller.run(end));
   let killedAt: number | undefined;
   if (!flags["no-kill"]) {
     await new Promise((resolve) => setTimeout(resolve, durationMs / 2));
@@ -112,12 +85,11 @@
   await Promise.all(runs);
   clearInterval(progress);
   const bookings = callers.flatMap((caller) => caller.bookings);
-  const stored = await countStored(stack);
+  const faults = await checkBookings(stack, DATABASE, bookings);
   const reads = await countReads(proxies);
   return {
     acknowledged: bookings.length,
-    lost: bookings.filter((one) => !stored.has(one.id)).length,
-    doubled: [...stored.values()].filter((copies) => copies > 1).length,
+    ...faults,
     readYourWritesViolations: sum(
       callers,
       (caller) => caller.readYourWritesViolations,
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,12 +7,14 @@
 import { Cli, Command, Option, UsageError } from "clipanion";
 import type { Benchmark } from "./benchmark.ts";
 import { benchConnections } from "./connections.ts";
+import { benchFailover } from "./failover.ts";
 import { benchOverhead } from "./overhead.ts";
 import { benchOverload } from "./overload.ts";
 import { benchReads } from "./reads.ts";
 
 const BENCHMARKS: Readonly<Record<string, Benchmark>> = {
   reads: benchReads,
+  failover: benchFailover,
   connections: benchConnections,
   overload: benchOverload,
   overhead: benchOverhead,
@@ -30,6 +32,9 @@
   seconds = Option.String("--seconds", "10", {
     description: "Length of each measured phase, in s",
   });
+  rounds = Option.String("--rounds", "20", {
+    description: "Number of faults of each kind in `failover`",
+  });
   callers = Option.String("--callers", {
     description: "Number of callers, for each proxy in `connections`",
   });
@@ -41,6 +46,7 @@
     }
     const { rows, summary } = await benchmark({
       seconds: this.#count("--seconds", this.seconds),
+      rounds: this.#count("--rounds", this.rounds),
       callers: this.callers === undefined
         ? undefined
         : this.#count("--callers", this.callers),
