--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
  */
 import { Cli, Command, Option, UsageError } from "clipanion";
 import type { Benchmark } from "./benchmark.ts";
+import { benchConfiguration } from "./configuration.ts";
 import { benchConnections } from "./connections.ts";
 import { benchFailover } from "./failover.ts";
 import { benchOverhead } from "./overhead.ts";
@@ -18,6 +19,7 @@
   connections: benchConnections,
   overload: benchOverload,
   overhead: benchOverhead,
+  configuration: benchConfiguration,
 };
 const NAMES = Object.keys(BENCHMARKS).join("|");
 
@@ -33,7 +35,8 @@
     description: "Length of each measured phase, in s",
   });
   rounds = Option.String("--rounds", "20", {
-    description: "Number of faults of each kind in `failover`",
+    description:
+      "Number of faults of each kind in `failover`, of revisions in `configuration`",
   });
   callers = Option.String("--callers", {
     description: "Number of callers, for each proxy in `connections`",
