--- a/src/plugins/failover/plugin.ts
+++ b/src/plugins/failover/plugin.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { registerPlugin } from "../../kernel/kernel.ts";
+import { registerFailoverMetrics } from "./failover_metrics.ts";
 import { FailoverMonitor } from "./failover_monitor.ts";
 import { PeerAnnouncer, serveAnnouncements } from "./peer_announcer.ts";
 
@@ -15,6 +16,7 @@
     "database_group",
     "health",
     "membership",
+    "metrics",
     "peers",
     "table_service",
   ],
@@ -36,6 +38,7 @@
       announcer: new PeerAnnouncer(peers, membership, name),
     });
     serveAnnouncements(peers, monitor);
+    registerFailoverMetrics(context.use("metrics").registry, monitor.timings);
     return monitor;
   },
 });
--- a/test/health_test.ts
+++ b/test/health_test.ts
@@ -1,7 +1,9 @@
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
+import { Registry } from "prom-client";
 import { ResultCodes } from "../src/kernel/result_codes.ts";
+import { registerHealthMetrics } from "../src/plugins/health/health_metrics.ts";
 import { HealthMonitor } from "../src/plugins/health/health_monitor.ts";
 import {
   createInstance,
@@ -279,6 +281,15 @@
     });
   });
 
+  it("shows terms and ages as metrics", async () => {
+    await health.primary(DATABASE, later());
+    const registry = new Registry();
+    registerHealthMetrics(registry, health, () => [DATABASE]);
+    const text = await registry.metrics();
+    expect(text).toInclude('marjoramshed_group_term{database="booking"} 1');
+    expect(text).toInclude('database="booking",instance="a"');
+  });
+
   it("keeps its state when the document changes", async () => {
     await health.primary(DATABASE, later());
     const other = createGroup(instances, { preferredPrimary: "b" });
