--- a/test/failover_policy_test.ts
+++ b/test/failover_policy_test.ts
@@ -1,29 +1,17 @@
-import { afterEach, beforeEach, describe, it } from "node:test";
-import { setTimeout as sleep } from "node:timers/promises";
+import { describe, it } from "node:test";
 import { expect } from "earl";
-import { FailoverMonitor } from "../src/plugins/failover/failover_monitor.ts";
 import { chooseCandidate, promote } from "../src/plugins/failover/promotion.ts";
 import { judge } from "../src/plugins/failover/suspicion.ts";
 import { wantedPrimary } from "../src/plugins/failover/switchover.ts";
 import type { GroupView, InstanceView } from "../src/plugins/health/health.ts";
-import { HealthMonitor } from "../src/plugins/health/health_monitor.ts";
 import {
   createInstance,
   createStatus,
   FakeDatabaseGroup,
 } from "./fixtures/fake_database_group.ts";
-import {
-  createGroup,
-  createTestLog,
-  FakeConfiguration,
-  FakeHostList,
-  FakeMembership,
-  FakeTableService,
-} from "./fixtures/fake_platform.ts";
+import { createGroup, createTestLog } from "./fixtures/fake_platform.ts";
 
-const DATABASE = "booking";
 const NOW_MS = 10_000;
-const DEADLINE_MS = 20_000;
 const instances = ["a", "b", "c"].map((name) => createInstance(name));
 const group = createGroup(instances);
 
@@ -173,114 +161,6 @@
   });
 });
 
-describe("proposers", () => {
-  let control: FakeDatabaseGroup;
-  let tableService: FakeTableService;
-  let stops: (() => Promise<void>)[];
-
-  beforeEach(() => {
-    control = new FakeDatabaseGroup();
-    tableService = new FakeTableService();
-    stops = [];
-    control.statuses.set("a", createStatus({ role: "primary" }));
-    control.statuses.set("b", createStatus({ source: "a" }));
-    control.statuses.set("c", createStatus({ source: "a" }));
-  });
-
-  afterEach(async () => {
-    for (const stop of stops) await stop();
-  });
-
-  const startProxy = async (name: string) => {
-    const names = ["p1", "p2", "p3", "p4"];
-    const configuration = new FakeConfiguration([group], names);
-    const log = createTestLog(name);
-    const hostList = new FakeHostList();
-    const health = new HealthMonitor({
-      configuration,
-      hostList,
-      control,
-      log,
-    });
-    const failover = new FailoverMonitor({
-      name,
-      configuration,
-      health,
-      control,
-      membership: new FakeMembership([name]),
-      tableService,
-      log,
-      outstanding: () => 0,
-      announcer: {
-        hold: () => Promise.resolve(),
-        release: () => Promise.resolve(),
-      },
-    });
-    stops.push(() => failover.stop(), () => health.stop());
-    await health.start();
-    await failover.start();
-    await health.primary(DATABASE, performance.now() + DEADLINE_MS);
-    return health;
-  };
-
-  it("that know nothing of each other never make two primaries of one term", async () => {
-    const proxies = await Promise.all(["p1", "p2", "p3", "p4"].map(startProxy));
-    for (let round = 0; round < 4; round += 1) {
-      const deadline = performance.now() + DEADLINE_MS;
-      const before = await proxies[0]!.primary(DATABASE, deadline);
-      const { name } = before._unsafeUnwrap();
-      const killed = control.statuses.get(name)!;
-      control.statuses.delete(name);
-      for (const proxy of proxies) proxy.reportFailure(DATABASE, name);
-      for (const proxy of proxies) {
-        const after = await proxy.primary(DATABASE, deadline);
-        expect(after.isOk()).toEqual(true);
-        expect(after._unsafeUnwrap().name).not.toEqual(name);
-      }
-      control.statuses.set(name, killed);
-      const isBack = () => control.statuses.get(name)?.role === "replica";
-      while (!isBack() && performance.now() < deadline) await sleep(20);
-      expect(isBack()).toEqual(true);
-    }
-    const terms = control.promotions.map((item) => item.term);
-    expect(new Set(terms).size).toEqual(terms.length);
-  });
-
-  it("do without the table service", async () => {
-    tableService.down = true;
-    const health = await startProxy("p1");
-    control.statuses.delete("a");
-    health.reportFailure(DATABASE, "a");
-    const deadline = performance.now() + DEADLINE_MS;
-    expect((await health.primary(DATABASE, deadline)).isOk()).toEqual(true);
-  });
-
-  it("publish the primary and its term", async () => {
-    const health = await startProxy("p1");
-    control.statuses.delete("a");
-    health.reportFailure(DATABASE, "a");
-    const deadline = performance.now() + DEADLINE_MS;
-    const primary = (await health.primary(DATABASE, deadline))._unsafeUnwrap();
-    const row = () => tableService.rows.get(`group/${DATABASE}`);
-    while (!row() && performance.now() < deadline) await sleep(20);
-    expect(row()?.attributes).toEqual({
-      primary: primary.name,
-      term: 2,
-      proposer: "p1",
-    });
-  });
-
-  it("bring back an instance that a failed proposal fenced", async () => {
-    const health = await startProxy("p1");
-    control.statuses.set("c", createStatus({ role: "fenced", seenTerm: 5 }));
-    const deadline = performance.now() + DEADLINE_MS;
-    const isBack = () => control.statuses.get("c")?.source !== undefined;
-    while (!isBack() && performance.now() < deadline) await sleep(20);
-    expect(health.view(DATABASE)?.primary).toEqual("a");
-    expect(control.statuses.get("c")?.seenTerm).toEqual(6);
-  });
-});
-
 /** A view with a as primary and given statuses and counts of failures. */
 function createView(
   states: readonly (readonly [InstanceView["status"], number])[],
--- a/test/failover_test.ts
+++ b/test/failover_test.ts
@@ -4,11 +4,8 @@
 import { expect } from "earl";
 import { Events } from "../src/kernel/events.ts";
 import { containsPosition } from "../src/plugins/upstream/position.ts";
-import {
-  FailoverCluster,
-  type FailoverProxy,
-  type ToldView,
-} from "./fixtures/failover_cluster.ts";
+import { FailoverCluster } from "./fixtures/failover_cluster.ts";
+import type { FailoverProxy, ToldView } from "./fixtures/failover_proxy.ts";
 import { eventually } from "./support/eventually.ts";
 
 /** Time in which a wrong promotion would show. */
--- a/test/health_test.ts
+++ b/test/health_test.ts
@@ -49,9 +49,12 @@
   const soon = () => performance.now() + SOON_MS;
   const later = () => performance.now() + LONG_MS;
 
+  const confirm = (lsn: bigint, deadline: number) =>
+    health.confirm(DATABASE, { term: 1, lsn }, deadline);
+
   describe("confirmation of a write", () => {
     it("holds once a majority received the position", async () => {
-      const waiting = health.confirm(DATABASE, { term: 1, lsn: 120n }, later());
+      const waiting = confirm(120n, later());
       control.statuses.set(
         "a",
         createStatus({ role: "primary", received: 130n }),
@@ -65,11 +68,7 @@
         "a",
         createStatus({ role: "primary", received: 130n }),
       );
-      const result = await health.confirm(
-        DATABASE,
-        { term: 1, lsn: 120n },
-        soon(),
-      );
+      const result = await confirm(120n, soon());
       expect(result._unsafeUnwrapErr().code).toEqual(
         ResultCodes.ACKNOWLEDGE_DEADLINE,
       );
@@ -80,11 +79,7 @@
       control.statuses.set("a", createStatus({ received: 130n }));
       control.statuses.set("b", createStatus({ ...history, received: 900n }));
       control.statuses.set("c", createStatus({ ...history, received: 900n }));
-      const result = await health.confirm(
-        DATABASE,
-        { term: 1, lsn: 120n },
-        soon(),
-      );
+      const result = await confirm(120n, soon());
       expect(result.isErr()).toEqual(true);
     });
 
@@ -98,7 +93,7 @@
     });
 
     it("ends at once when a new primary lacks the position", async () => {
-      const waiting = health.confirm(DATABASE, { term: 1, lsn: 120n }, later());
+      const waiting = confirm(120n, later());
       leadBy("b", 100n);
       expect((await waiting)._unsafeUnwrapErr().code).toEqual(
         ResultCodes.OUTCOME_UNKNOWN,
@@ -106,7 +101,7 @@
     });
 
     it("holds when a majority of a new term contains the position", async () => {
-      const waiting = health.confirm(DATABASE, { term: 1, lsn: 120n }, later());
+      const waiting = confirm(120n, later());
       leadBy("b", 125n);
       expect((await waiting).isOk()).toEqual(true);
     });
