Instance: nothing runs on the engine outside the gate

A test with callers in transactions under twenty rounds of fence and promote failed first: a promotion refreshed the capture on the engine while a caller's transaction was open there (25P02), and a connection that a fence terminated between entering the gate and running went on without it. The capture is now refreshed at the next commit, and running without the gate is refused.

A promotion that still has entries to apply ends open read transactions on the candidate, as they would hold it up until the idle limit.

--- a/standins/instance/database.ts
+++ b/standins/instance/database.ts
@@ -27,6 +27,8 @@
   #applier: Applier;
   #settings: SessionSettings | undefined;
   #readOnly = true;
+  /** Whether the schema may have changed since the capture was last refreshed. */
+  #captureIsStale = false;
   #applied = 0n;
 
   private constructor(log: Log, initSql: string, engine: Engine) {
@@ -65,14 +67,15 @@
   /** Writes the first entry of a term. */
   startTerm(term: number): void {
     this.setReadOnly(false);
-    this.#capture.refresh();
+    this.#captureIsStale = true;
     this.#log.write(term, []);
     this.#applied = this.#log.end;
   }
 
   /** Records what the transaction that just ended has changed; called before its answer is sent. */
   commit(term: number, schemaChanged: boolean): void {
-    if (schemaChanged) this.#capture.refresh();
+    if (schemaChanged || this.#captureIsStale) this.#capture.refresh();
+    this.#captureIsStale = false;
     const changes = this.#capture.take();
     if (changes.length === 0) return;
     this.#log.write(term, changes);
--- a/standins/instance/engine_access.ts
+++ b/standins/instance/engine_access.ts
@@ -17,7 +17,7 @@
   type SessionSettings,
 } from "./session_settings.ts";
 import type { Statement } from "./statement.ts";
-import { createMessage, type SqlFailure } from "./wire.ts";
+import { createMessage, SqlFailure } from "./wire.ts";
 
 const ROLLBACK = Buffer.concat([
   createMessage("Q", "ROLLBACK"),
@@ -25,6 +25,12 @@
   createMessage("Q", "ROLLBACK"),
 ]);
 
+/** The connection was terminated between entering and running. */
+const LEFT = new SqlFailure(
+  "57P01",
+  "terminating connection due to administrator command",
+);
+
 /** Runs messages on the engine for one connection. */
 export class EngineAccess {
   readonly #instance: DatabaseInstance;
@@ -65,6 +71,7 @@
     if (this.held) return;
     const { database } = this.#instance;
     await database.gate.acquire(this);
+    if (!this.held) throw LEFT;
     try {
       database.useSettings(this.#settings);
     } catch (error) {
@@ -88,6 +95,7 @@
 
   /** Runs messages; the gate must be held, and is let go when the transaction has ended. */
   execute(messages: Buffer, hidden: Hidden = {}): Answers {
+    if (!this.held) throw LEFT;
     const { database } = this.#instance;
     const answers = filterAnswers(database.engine.execute(messages), hidden);
     this.#wrote ||= answers.wrote;
--- a/standins/instance/instance.ts
+++ b/standins/instance/instance.ts
@@ -145,6 +145,9 @@
   /** Becomes the primary of the term that the instance is fenced at. */
   async promote(term: number): Promise<InstanceStatus> {
     const fenced = () => this.#role === "fenced" && this.#seenTerm === term;
+    if (fenced() && this.database.applied < this.log.end) {
+      this.#terminate((member) => member.inTransaction);
+    }
     await this.#replay.finish(fenced);
     if (this.#role === "primary" && this.#seenTerm === term) {
       return this.status();
--- a/test/instance_test.ts
+++ b/test/instance_test.ts
@@ -239,6 +239,63 @@
     });
   });
 
+  describe("under fences while callers write", () => {
+    let group: Group;
+    before(async () => {
+      group = await Group.start({
+        instances: 1,
+        initSql: "CREATE TABLE ledger (id text PRIMARY KEY)",
+        network: 44,
+      });
+    });
+    after(() => group.stop());
+
+    async function write(caller: number, done: () => boolean) {
+      const acknowledged: string[] = [];
+      let client: pg.Client | undefined;
+      for (let n = 0; !done(); n += 1) {
+        const id = `${caller}-${n}`;
+        try {
+          client ??= await group.connect(group.primary);
+          if (caller % 2 === 0) await client.query("BEGIN");
+          await client.query("INSERT INTO ledger VALUES ($1)", [id]);
+          if (caller % 2 === 0) await client.query("COMMIT");
+          acknowledged.push(id);
+        } catch (error) {
+          const { code } = error as { code?: string };
+          if (code === "25006") await client?.query("ROLLBACK");
+          else client = undefined;
+        }
+      }
+      await client?.end();
+      return acknowledged;
+    }
+
+    it("holds exactly the writes that it acknowledged", async () => {
+      const fences = 20;
+      let done = false;
+      const callers = Array.from(
+        { length: 6 },
+        (_, caller) => write(caller, () => done),
+      );
+      for (let term = 2; term < 2 + fences; term += 1) {
+        await sleep(30);
+        const order = (name: string) =>
+          group.control(
+            group.primary,
+            `SELECT * FROM marjoramshed_${name}(${term})`,
+          );
+        await order("fence");
+        await order("promote");
+      }
+      done = true;
+      const acknowledged = (await Promise.all(callers)).flat();
+      const held = await contents(group, group.primary, "ledger");
+      expect(acknowledged.length > 0).toEqual(true);
+      expect(held.sort()).toEqual(acknowledged.map((id) => `(${id})`).sort());
+    });
+  });
+
   describe("as a member of a group", () => {
     let group: Group;
     before(async () => {
