Instance: the highest term seen may outlive the process; roles and databases are refused

A restarted instance forgot that it had been fenced, so it could confirm writes of a replaced primary.

CREATE ROLE and its like raise no event for the capture: a later GRANT to the role stopped the replica. They get 0A000.

--- a/standins/instance/instance.ts
+++ b/standins/instance/instance.ts
@@ -14,6 +14,7 @@
 import { Follower } from "./follower.ts";
 import { commonPosition, Log } from "./log.ts";
 import { Replay } from "./replay.ts";
+import { SeenTerm } from "./seen_term.ts";
 import type { Settings, Source } from "./settings.ts";
 import { SqlFailure } from "./wire.ts";
 
@@ -43,7 +44,7 @@
   receiveLag: number;
   readonly #replay: Replay;
   #role: Role = "fenced";
-  #seenTerm: number;
+  readonly #seenTerm: SeenTerm;
   #follower: Follower | undefined;
   #synchronized = false;
 
@@ -57,7 +58,7 @@
     this.logger = logger;
     this.log = log;
     this.database = database;
-    this.#seenTerm = settings.term;
+    this.#seenTerm = new SeenTerm(settings.term, settings.stateFile);
     this.receiveLag = settings.receiveLag;
     this.#replay = new Replay(log, database, settings.applyLag);
   }
@@ -80,7 +81,7 @@
   }
 
   get seenTerm(): number {
-    return this.#seenTerm;
+    return this.#seenTerm.value;
   }
 
   /** Whether this process was primary or has caught up with a source since its start. */
@@ -104,7 +105,7 @@
     return {
       ...this.log.history,
       role: this.#role,
-      seenTerm: this.#seenTerm,
+      seenTerm: this.seenTerm,
       received: this.log.end,
       applied: this.database.applied,
       source: follower?.source.name,
@@ -134,8 +135,8 @@
         "this instance holds no copy of the log yet",
       );
     }
-    if (term <= this.#seenTerm) {
-      throw refusal(`term ${term} is not above ${this.#seenTerm}`);
+    if (term <= this.seenTerm) {
+      throw refusal(`term ${term} is not above ${this.seenTerm}`);
     }
     this.#leaveRole("fenced", term);
     this.logger.info({ term, received: String(this.log.end) }, "fenced");
@@ -144,16 +145,16 @@
 
   /** Becomes the primary of the term that the instance is fenced at. */
   async promote(term: number): Promise<InstanceStatus> {
-    const fenced = () => this.#role === "fenced" && this.#seenTerm === term;
+    const fenced = () => this.#role === "fenced" && this.seenTerm === term;
     if (fenced() && this.database.applied < this.log.end) {
       this.#terminate((member) => member.inTransaction);
     }
     await this.#replay.finish(fenced);
-    if (this.#role === "primary" && this.#seenTerm === term) {
+    if (this.#role === "primary" && this.seenTerm === term) {
       return this.status();
     }
     if (!fenced()) {
-      const state = `${this.#role} at term ${this.#seenTerm}`;
+      const state = `${this.#role} at term ${this.seenTerm}`;
       throw refusal(`this instance is ${state}, not fenced at ${term}`);
     }
     this.#startTerm();
@@ -163,13 +164,13 @@
 
   /** Follows the primary of a term. */
   follow(source: Source, term: number): InstanceStatus {
-    if (term < this.#seenTerm) {
-      throw refusal(`term ${term} is below ${this.#seenTerm}`);
+    if (term < this.seenTerm) {
+      throw refusal(`term ${term} is below ${this.seenTerm}`);
     }
-    if (this.#role === "primary" && term === this.#seenTerm) {
+    if (this.#role === "primary" && term === this.seenTerm) {
       throw refusal(`this instance is the primary of term ${term}`);
     }
-    if (this.#follows(source) && term === this.#seenTerm) return this.status();
+    if (this.#follows(source) && term === this.seenTerm) return this.status();
     this.#leaveRole("replica", term);
     this.#startFollower(source);
     this.logger.info({ term, source: source.name }, "following");
@@ -179,7 +180,7 @@
   /** Takes an entry of the source. */
   receive(term: number, body: string): void {
     if (this.#role !== "replica") return;
-    this.#seenTerm = Math.max(this.#seenTerm, term);
+    this.#seenTerm.raise(term);
     this.log.append(term, body);
   }
 
@@ -219,13 +220,13 @@
   #startTerm(): void {
     this.#role = "primary";
     this.#synchronized = true;
-    this.database.startTerm(this.#seenTerm);
+    this.database.startTerm(this.seenTerm);
   }
 
   #leaveRole(role: Role, term: number): void {
     this.#stopFollower();
     this.#role = role;
-    this.#seenTerm = term;
+    this.#seenTerm.raise(term);
     this.#terminate((member) => member.inTransaction);
     this.database.setReadOnly(true);
     this.log.wake();
--- a/standins/instance/settings.ts
+++ b/standins/instance/settings.ts
@@ -37,6 +37,8 @@
     sourceName: z.string().default("source"),
     /** Host and port of the instance that a replica follows. */
     source: z.string().regex(/^.+:\d+$/).optional(),
+    /** File that keeps the highest term seen over a restart; none when left out. */
+    stateFile: z.string().min(1).optional(),
     /** Term that a primary starts with, or that a replica has seen. */
     term: z.coerce.number().int().min(1).default(1),
   });
--- a/standins/instance/statement.ts
+++ b/standins/instance/statement.ts
@@ -7,7 +7,7 @@
 import { parseSync } from "libpg-query";
 
 const SUSPECT =
-  /\b(copy|prepare|execute|deallocate|discard|listen|unlisten|hold|currval|lastval|pg_(try_)?advisory_\w+|session_replication_role|session\s+characteristics|(default_)?transaction_read_only|read\s+write)\b/i;
+  /\b(copy|prepare|execute|deallocate|discard|listen|unlisten|hold|currval|lastval|pg_(try_)?advisory_\w+|session_replication_role|session\s+characteristics|(default_)?transaction_read_only|read\s+write|(create|alter|drop)\s+(role|user|group|database|tablespace|system))\b/i;
 const SCHEMA_WORD =
   /\b(create|alter|drop|comment|grant|revoke|reindex|refresh|security|into)\b/i;
 const SEQUENCE = /\b(nextval|setval)\s*\(/i;
@@ -79,6 +79,9 @@
   if ([...words, "listen", "unlisten"].includes(word)) {
     return `${word.toUpperCase()} is not supported`;
   }
+  if (SHARED_OBJECT.test(text.replace(COMMENTS, ""))) {
+    return "objects outside the database are not supported";
+  }
   if (word === "copy" && /\bfrom\b/i.test(text)) {
     return "COPY FROM is not supported";
   }
@@ -97,6 +100,10 @@
   return undefined;
 }
 
+// These raise no event for the capture, so replicas would not learn of them.
+const SHARED_OBJECT =
+  /^(create|alter|drop)\s+(role|user|group|database|tablespace|system)\b/i;
+
 const REPLICATION_SETTING =
   /session_replication_role|session\s+characteristics|transaction_read_only/i;
 
--- a/test/instance_test.ts
+++ b/test/instance_test.ts
@@ -123,6 +123,7 @@
         "PREPARE p AS SELECT 1",
         "SELECT lastval()",
         "COPY note FROM STDIN",
+        "CREATE ROLE reader",
         "DO $$ BEGIN CREATE TABLE inner_table (a int); END $$",
       ];
       for (const text of texts) {
@@ -501,11 +502,15 @@
     it("rebuilds a replica that was killed and started again", async () => {
       const [first, second, third] = group.instances;
       await group.control(third!, "SELECT * FROM marjoramshed_promote(4)");
+      const { seen_term } = await group.status(first!);
       await first!.process.kill();
-      await group.startInstance(0, third);
+      await group.startInstance(0, { ...third!, port: 1 });
+      expect((await group.status(first!)).seen_term).toEqual(seen_term);
+      expect(seen_term).toEqual("2");
       const follow = `SELECT * FROM marjoramshed_follow('x', '${
         third!.host
       }', ${third!.port}, 4)`;
+      await group.control(first!, follow);
       await group.control(second!, follow);
       await expectSame(third!, ["booking", "note", "made", "counted"]);
     });
