--- a/src/plugins/membership/gossip.ts
+++ b/src/plugins/membership/gossip.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { PeerProcedure, Peers } from "../peers/peers.ts";
+import { PARTNERS_LIMIT } from "./gossip_partners.ts";
 import type { Liveness, Member } from "./membership.ts";
 import { type MemberChange, type MemberTable, rankOf } from "./member_table.ts";
 import {
@@ -22,7 +23,6 @@
 } from "./procedures.ts";
 import { UpdateQueue } from "./update_queue.ts";
 
-const EXCHANGE_TIMEOUT_MS = 300;
 const PAGE_TIMEOUT_MS = 2_000;
 /** Exchanges in a row after which tables that differ are compared page by page. */
 const DIFFERENCES_LIMIT = 3;
@@ -73,23 +73,27 @@
 
   /** Passes on the own state, which has changed. */
   announceOwn(): void {
-    this.#queue.add(this.#table.own.name);
+    this.#queue.add(this.#table.own.name, true);
   }
 
   /** Drops news that was told often enough. */
   expire(): void {
-    this.#queue.expire(this.#table.others().length);
+    this.#queue.expire(this.#table.size);
   }
 
   /** Swaps news with a member; false when it did not answer. */
-  async exchange(name: string, endpoint: string): Promise<boolean> {
+  async exchange(
+    name: string,
+    endpoint: string,
+    timeout: number,
+  ): Promise<boolean> {
     const updates = this.#queue.take(name, UPDATES_LIMIT);
     const message = this.#message(name, updates.map((update) => update.name));
     const answer = await this.#peers.call(
       endpoint,
       exchange,
       message,
-      EXCHANGE_TIMEOUT_MS,
+      timeout,
     );
     if (answer.isErr() || answer.value.from !== name) return false;
     this.#queue.deliver(name, updates);
@@ -141,13 +145,25 @@
     for (const member of members) {
       const change = this.#table.apply(member);
       if (change === "none") continue;
-      const refuted = change === "refuted";
-      this.#queue.add(member.state.name, refuted ? undefined : toldBy);
+      this.#passOn(member, change, toldBy);
       news.push({ member, change, toldBy });
     }
     if (news.length > 0) this.#listener.changed(news);
   }
 
+  /** While all members are partners, each hears of a newer state from its owner. */
+  #passOn(
+    member: Member,
+    change: MemberChange,
+    toldBy: string | undefined,
+  ): void {
+    const { name } = member.state;
+    if (change === "refuted") return this.#queue.add(name, true);
+    const ordinary = change === "state";
+    if (ordinary && this.#table.size <= PARTNERS_LIMIT + 1) return;
+    this.#queue.add(name, !ordinary, toldBy);
+  }
+
   #compareWhenNeeded(name: string, endpoint: string, sum: number): void {
     const equal = sum === this.#table.checksum;
     const differences = equal ? 0 : (this.#differences.get(name) ?? 0) + 1;
@@ -193,7 +209,9 @@
     for (const member of this.#table.others()) {
       const { name } = member.state;
       if (name <= after || (last !== undefined && name > last)) continue;
-      if (isNewer(digestOf(member), theirs.get(name))) this.#queue.add(name);
+      if (isNewer(digestOf(member), theirs.get(name))) {
+        this.#queue.add(name, false);
+      }
     }
   }
 
--- a/src/plugins/membership/gossip_membership.ts
+++ b/src/plugins/membership/gossip_membership.ts
@@ -25,21 +25,19 @@
 import { MemberTable } from "./member_table.ts";
 import { PartnerLinks } from "./partner_links.ts";
 import type { LinkDuties } from "./peer_link.ts";
-import { probe } from "./procedures.ts";
+import { Prober } from "./prober.ts";
 import { sameDemands, smoothDemands } from "./published_demands.ts";
-import { shuffle } from "./shuffle.ts";
 import { Suspicions } from "./suspicions.ts";
 
 const PROBE_INTERVAL_MS = 500;
 const SUSPECT_PROBE_INTERVAL_MS = 200;
-const INDIRECT_PROBES = 3;
-const INDIRECT_TIMEOUT_MS = 500;
-const URGENT_FANOUT = 4;
+const URGENT_FANOUT = 3;
+const URGENT_INTERVAL_MS = 300;
 const SWEEP_INTERVAL_MS = 100;
 const SHORTEST_PAUSE_MS = 300;
 const GONE_KEPT_MS = 600_000;
 const DEMANDS_INTERVAL_MS = 2_000;
-const DEMANDS_INTERVAL_PER_MEMBER_MS = 160;
+const DEMANDS_INTERVAL_PER_MEMBER_MS = 700;
 
 /** Options of the membership. */
 export interface MembershipOptions {
@@ -58,12 +56,15 @@
   readonly #gossip: Gossip;
   readonly #suspicions = new Suspicions();
   readonly #pauses: PauseObserver;
+  readonly #prober: Prober;
   readonly #links: PartnerLinks;
   readonly #joiner: HostJoiner;
   readonly #goneAt = new Map<string, number>();
   readonly #listeners = new Set<() => void>();
   #demands: readonly Demand[] = [];
   #demandsAt = -Infinity;
+  #urgentAt = -Infinity;
+  #urgentPending = false;
   #partnersChanged = true;
   #sweeper: NodeJS.Timeout | undefined;
 
@@ -83,6 +84,14 @@
       heard: (name) => this.#heard(name),
       changed: (news) => this.#changed(news),
     });
+    this.#prober = new Prober({
+      peers: options.peers,
+      table: this.#table,
+      gossip: this.#gossip,
+      helpers: (name) =>
+        this.#links.names()
+          .filter((other) => other !== name && !this.#suspicions.has(other)),
+    });
     this.#links = new PartnerLinks(options.name, this.#duties());
     this.#joiner = new HostJoiner({
       own: options.name,
@@ -98,7 +107,7 @@
 
   start(): Promise<void> {
     this.#gossip.serve();
-    this.#options.peers.serve(probe, ({ name }) => this.#reaches(name));
+    this.#prober.serve();
     this.#pauses.check();
     this.#sweeper = setInterval(() => this.#sweep(), SWEEP_INTERVAL_MS);
     this.#joiner.start();
@@ -133,7 +142,7 @@
     if (revision <= this.#table.own.revision) return;
     this.#table.changeOwn({ revision });
     this.#gossip.announceOwn();
-    this.#links.wakeSome(URGENT_FANOUT);
+    this.#spreadUrgent();
     this.#notify();
   }
 
@@ -143,7 +152,7 @@
     this.#gossip.announceOwn();
     this.#notify();
     const names = this.#links.names();
-    await Promise.all(names.map((name) => this.#exchange(name)));
+    await Promise.all(names.map((name) => this.#prober.exchange(name)));
   }
 
   subscribe(listener: () => void): () => void {
@@ -153,45 +162,18 @@
 
   #duties(): LinkDuties {
     return {
-      exchange: (name) => this.#exchange(name),
-      reachedByOthers: (name) => this.#reachedByOthers(name),
+      exchange: (name) => this.#prober.exchange(name),
+      reachedByOthers: (name) => this.#prober.reachedByOthers(name),
       pauses: () => this.#pauses.check(),
       suspect: (name) => this.#suspect(name),
       interval: (name) =>
         this.#suspicions.has(name)
-          ? SUSPECT_PROBE_INTERVAL_MS
+          ? SUSPECT_PROBE_INTERVAL_MS * this.#suspicions.size *
+            this.#prober.patience
           : PROBE_INTERVAL_MS * this.#links.size,
     };
   }
 
-  async #exchange(name: string): Promise<boolean> {
-    const member = this.#table.get(name);
-    if (!member) return true;
-    return await this.#gossip.exchange(name, member.state.endpoint);
-  }
-
-  /** Answers a member that asks whether this proxy reaches another. */
-  async #reaches(name: string): Promise<boolean> {
-    const member = this.#table.get(name);
-    if (!member || member.liveness === "gone") return false;
-    return await this.#exchange(name);
-  }
-
-  async #reachedByOthers(name: string): Promise<boolean> {
-    const helpers = shuffle(this.#links.names())
-      .filter((other) => other !== name && !this.#suspicions.has(other))
-      .slice(0, INDIRECT_PROBES);
-    if (helpers.length === 0) return await this.#exchange(name);
-    const answers = helpers.map(async (helper) => {
-      const endpoint = this.#table.get(helper)?.state.endpoint ?? "";
-      const answer = await this.#options.peers
-        .call(endpoint, probe, { name }, INDIRECT_TIMEOUT_MS);
-      if (answer.isOk() && answer.value) return true;
-      throw new Error("not reached");
-    });
-    return await Promise.any(answers).catch(() => false);
-  }
-
   #suspect(name: string): void {
     const member = this.#table.get(name);
     if (!member || member.liveness === "gone") return;
@@ -210,12 +192,13 @@
   #changed(news: readonly GossipNews[]): void {
     for (const item of news) this.#record(item);
     const urgent = news.find(({ change }) => change !== "state");
-    if (urgent) this.#links.wakeSome(URGENT_FANOUT, urgent.toldBy);
+    if (urgent) this.#spreadUrgent(urgent.toldBy);
     this.#notify();
   }
 
   #record({ member, change, toldBy }: GossipNews): void {
     const { name, zone, incarnation, version } = member.state;
+    if (change === "refuted") this.#prober.noteSlowness();
     if (change === "state" || change === "refuted") return;
     const fields = { peer: name, zone, incarnation, version, toldBy };
     this.#partnersChanged = true;
@@ -235,6 +218,16 @@
     }
   }
 
+  /** Tells some partners at once, and at most once in an interval. */
+  #spreadUrgent(toldBy?: string): void {
+    const now = performance.now();
+    const interval = URGENT_INTERVAL_MS * this.#prober.patience;
+    this.#urgentPending = now - this.#urgentAt < interval;
+    if (this.#urgentPending) return;
+    this.#urgentAt = now;
+    this.#links.wakeSome(URGENT_FANOUT, toldBy);
+  }
+
   #notify(): void {
     for (const listener of this.#listeners) listener();
   }
@@ -244,10 +237,11 @@
     for (const member of this.#table.others()) {
       if (member.liveness !== "suspected") continue;
       const { name } = member.state;
-      if (this.#suspicions.expired(name)) {
+      if (this.#suspicions.expired(name, this.#prober.patience)) {
         this.#gossip.announce({ ...member, liveness: "gone" });
       } else this.#suspicions.note(name);
     }
+    if (this.#urgentPending) this.#spreadUrgent();
     this.#suspicions.expire();
     this.#gossip.expire();
     this.#forgetGone();
@@ -266,7 +260,7 @@
 
   /** Spreads demands at an interval that grows with the members, so that the traffic of each stays bounded. */
   #publishDemandsWhenDue(): void {
-    const size = this.#table.others().length + 1;
+    const { size } = this.#table;
     const interval = Math.max(
       DEMANDS_INTERVAL_MS,
       size * DEMANDS_INTERVAL_PER_MEMBER_MS,
--- a/src/plugins/membership/host_joiner.ts
+++ b/src/plugins/membership/host_joiner.ts
@@ -14,6 +14,7 @@
 const JOIN_INTERVAL_MS = 500;
 /** Between attempts while others are known. */
 const REJOIN_INTERVAL_MS = 5_000;
+const MEETING_TIMEOUT_MS = 1_000;
 
 /** Options of the joiner. */
 export interface HostJoinerOptions {
@@ -57,7 +58,11 @@
 
   async #meet(host: Host): Promise<void> {
     const { gossip } = this.#options;
-    const met = await gossip.exchange(host.name, host.endpoint);
+    const met = await gossip.exchange(
+      host.name,
+      host.endpoint,
+      MEETING_TIMEOUT_MS,
+    );
     if (met) await gossip.compare(host.name, host.endpoint);
   }
 
--- a/src/plugins/membership/member_table.ts
+++ b/src/plugins/membership/member_table.ts
@@ -67,6 +67,11 @@
     return { state: this.#own, liveness: "alive" };
   }
 
+  /** Number of members, this proxy and those that are gone included. */
+  get size(): number {
+    return this.#others.size + 1;
+  }
+
   /** Equal in two tables that hold the same proxies at the same versions; those that are gone don't count. */
   get checksum(): number {
     return this.#checksum;
--- a/src/plugins/membership/published_demands.ts
+++ b/src/plugins/membership/published_demands.ts
@@ -6,14 +6,16 @@
  */
 import type { Demand } from "./membership.ts";
 
-const ROUNDING_STEP = 0.5;
+const SMALLEST_STEP = 0.5;
+/** Steps between a power of two and the next. */
+const STEPS_PER_DOUBLING = 4;
 
 /** Rounds demands up to steps and drops those of nothing. */
 export function smoothDemands(demands: readonly Demand[]): readonly Demand[] {
   return demands
     .map((demand) => ({
       ...demand,
-      wanted: Math.ceil(demand.wanted / ROUNDING_STEP) * ROUNDING_STEP,
+      wanted: roundUp(demand.wanted),
     }))
     .filter((demand) => demand.wanted > 0);
 }
@@ -28,6 +30,13 @@
   return left.every((item) => wanted.get(keyOf(item)) === item.wanted);
 }
 
+function roundUp(wanted: number): number {
+  if (wanted <= 0) return 0;
+  const scale = 2 ** Math.floor(Math.log2(wanted));
+  const step = Math.max(SMALLEST_STEP, scale / STEPS_PER_DOUBLING);
+  return Math.ceil(wanted / step) * step;
+}
+
 function keyOf(demand: Demand): string {
   return `${demand.database}/${demand.instance}`;
 }
--- a/src/plugins/membership/suspicions.ts
+++ b/src/plugins/membership/suspicions.ts
@@ -35,11 +35,16 @@
     return this.#suspicions.has(name);
   }
 
-  /** Whether a member has been suspected for so long that it counts as gone. */
-  expired(name: string): boolean {
+  /** Number of members that are suspected or were a short while ago. */
+  get size(): number {
+    return this.#suspicions.size;
+  }
+
+  /** Whether a member has been suspected for so long that it counts as gone; `patience` multiplies the time. */
+  expired(name: string, patience: number): boolean {
     const known = this.#suspicions.get(name);
     return known !== undefined &&
-      performance.now() - known.since >= SUSPICION_MS;
+      performance.now() - known.since >= SUSPICION_MS * patience;
   }
 
   /** Ends the suspicion of a member that was heard. */
--- a/src/plugins/membership/update_queue.ts
+++ b/src/plugins/membership/update_queue.ts
@@ -1,16 +1,20 @@
 /**
  * News that other members may not have heard yet. Each piece goes to a peer
- * once, to a number of peers that grows with the logarithm of the membership.
+ * once: news of a member's liveness to a number of peers that grows with the
+ * logarithm of the membership, a newer state of another member to one, and the
+ * own state to all.
  *
  * @module
  */
 
 const LIFETIME_MS = 20_000;
-const SENDS_PER_DOUBLING = 3;
+const URGENT_SENDS_PER_DOUBLING = 3;
+const ORDINARY_SENDS = 1;
 
 /** One piece of news: the member that it is about, and which peers have it. */
 export interface QueuedUpdate {
   readonly name: string;
+  readonly urgent: boolean;
   readonly since: number;
   readonly delivered: Set<string>;
 }
@@ -23,14 +27,21 @@
   /** News about `own` never expires: each peer gets it once. */
   constructor(own: string) {
     this.#own = own;
-    this.add(own);
+    this.add(own, true);
   }
 
-  /** Adds news about a member in place of older news; the peer that told it needs no copy. */
-  add(name: string, toldBy?: string): void {
+  /** Adds news about a member in place of older news; the peer that told it needs no copy. What replaces urgent news is as urgent, for the rest of its time. */
+  add(name: string, urgent: boolean, toldBy?: string): void {
     const delivered = new Set(toldBy === undefined ? [] : [toldBy]);
+    const now = performance.now();
+    const known = this.#updates.get(name);
     this.#updates.delete(name);
-    this.#updates.set(name, { name, since: performance.now(), delivered });
+    this.#updates.set(name, {
+      name,
+      urgent: urgent || known?.urgent === true,
+      since: !urgent && known?.urgent ? known.since : now,
+      delivered,
+    });
   }
 
   /** News that a peer lacks, the latest first. */
@@ -49,10 +60,13 @@
   /** Drops what is old or was told to enough of `size` members. */
   expire(size: number): void {
     const oldest = performance.now() - LIFETIME_MS;
-    const sends = SENDS_PER_DOUBLING * Math.ceil(Math.log2(size + 2));
+    const urgentSends = URGENT_SENDS_PER_DOUBLING *
+      Math.ceil(Math.log2(size + 2));
     for (const update of this.#updates.values()) {
       if (update.name === this.#own) continue;
-      if (update.since > oldest && update.delivered.size < sends) continue;
+      const sends = update.urgent ? urgentSends : ORDINARY_SENDS;
+      // The first of those that have it is the one that told it.
+      if (update.since > oldest && update.delivered.size <= sends) continue;
       this.#updates.delete(update.name);
     }
   }
