Load tool: callers at a rate end on time, pause after a refusal

Cause: a caller with a low rate slept to its next arrival, beyond the end of the run, so that a run with 500 callers a proxy did not end. And callers without pause repeated a refused statement at once, 42,685 times in 27 s for one proxy, which kept the machine busy with refusals; now they wait 100 ms.

The pool ends or keeps a connection in one place, and uses neverthrow's own constructors. 144 tests of classification, budget and connections pass.

--- a/bench/connections.ts
+++ b/bench/connections.ts
@@ -14,7 +14,7 @@
   round,
 } from "./benchmark.ts";
 import { Fleet } from "./load/fleet.ts";
-import type { StatementKind } from "./load/orders.ts";
+import { INTERVAL_MS, type StatementKind } from "./load/orders.ts";
 import type { Tally } from "./load/tally.ts";
 import { countConnections, type InstanceUse } from "./proxy_metrics.ts";
 
@@ -151,7 +151,7 @@
       opensPerSecond: round(opened / seconds),
     };
   });
-  const errors = tallies.map((tally) => tally?.kind(READ.name).errors ?? {});
+  const errors = tallies.map((tally) => describeErrors(tally));
   const done = tallies.reduce(
     (sum, tally) => sum + (tally?.total((kind) => kind.done) ?? 0),
     0,
@@ -162,6 +162,13 @@
   };
 }
 
+/** Errors of the callers of one proxy, and when the last one was, in ms since the start. */
+function describeErrors(tally: Tally | undefined) {
+  const kind = tally?.kind(READ.name);
+  const last = kind?.errorsByInterval.findLastIndex((count) => count > 0) ?? -1;
+  return { codes: kind?.errors ?? {}, lastAtMs: (last + 1) * INTERVAL_MS };
+}
+
 function mean(values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
--- a/bench/load/statement_callers.ts
+++ b/bench/load/statement_callers.ts
@@ -8,7 +8,9 @@
 import type { CallerOrder, StatementKind, StatementLoad } from "./orders.ts";
 import type { Tally } from "./tally.ts";
 
-const RECONNECT_PAUSE_MS = 50;
+/** Pause of a caller after a refusal or an error. */
+const RETRY_PAUSE_MS = 100;
+const SQLSTATE_LENGTH = 5;
 
 /** Runs all callers of an order to the end of its time. */
 export async function runStatements(
@@ -35,10 +37,10 @@
 ): Promise<void> {
   let due = performance.now() + Math.random() * gapMs;
   for (let number = 1;; number += 1) {
-    const early = due - performance.now();
+    const early = Math.min(due, until) - performance.now();
     if (early > 0) await sleep(early);
     const begun = performance.now();
-    if (begun >= until) return;
+    if (begun >= until || due >= until) return;
     // Arrivals that a busy caller missed are dropped, not made up for.
     due = Math.max(due, begun - gapMs) + interval(gapMs);
     await attempt(caller, choose(kinds), `${caller.name}-${number}`, tally);
@@ -58,9 +60,8 @@
   } catch (error) {
     tally.failed(kind.name, begun, error);
     const code = (error as { readonly code?: string }).code;
-    if (code && code.length === 5) return;
-    await caller.close();
-    await sleep(RECONNECT_PAUSE_MS);
+    if (code?.length !== SQLSTATE_LENGTH) await caller.close();
+    await sleep(RETRY_PAUSE_MS);
   }
 }
 
--- a/src/plugins/connections/instance_pool.ts
+++ b/src/plugins/connections/instance_pool.ts
@@ -3,11 +3,17 @@
  *
  * @module
  */
-import { err, ok, type Result, ResultAsync } from "neverthrow";
+import {
+  err,
+  errAsync,
+  ok,
+  okAsync,
+  type Result,
+  ResultAsync,
+} from "neverthrow";
 import {
   type EventFields,
   type EventKind,
-  type EventLog,
   Events,
 } from "../../kernel/events.ts";
 import {
@@ -28,7 +34,8 @@
 export interface PoolOptions {
   readonly target: UpstreamTarget;
   readonly queueLength: number;
-  readonly log: EventLog;
+  /** Writes an event of this instance. */
+  readonly log: (kind: EventKind, fields: EventFields) => void;
   /** Opens a connection to the target. */
   readonly open: () => ResultAsync<OpenedUpstream, Failure>;
   /** Told when the instance can't be reached or has ended an idle connection. */
@@ -66,7 +73,7 @@
       options.target.instance,
       options.queueLength,
       ({ number }, count) =>
-        this.#log(Events.LOAD_SHED, { code: number, count }),
+        this.#options.log(Events.LOAD_SHED, { code: number, count }),
     );
     this.#opener = new Opener({
       open: options.open,
@@ -109,15 +116,15 @@
 
   /** Lends a connection. */
   acquire(request: ConnectionRequest): ResultAsync<PooledConnection, Failure> {
-    if (this.#closedFor) return settled(err(this.#closedFor));
+    if (this.#closedFor) return errAsync(this.#closedFor);
     const idle = this.#idle.pop();
     if (idle) {
       this.#lend(idle);
       this.#openAhead();
-      return settled(ok(idle));
+      return okAsync(idle);
     }
     const refusal = this.#refusal(request);
-    if (refusal) return settled(err(refusal));
+    if (refusal) return errAsync(refusal);
     const loan = new ResultAsync(this.#wait(request));
     this.#openForWaiters();
     return loan;
@@ -168,11 +175,7 @@
     this.admission.noteService(now - connection.usedAt);
     this.#releasedAt = now;
     connection.usedAt = now;
-    if (this.#closedFor || this.#open.size > this.#share) {
-      this.#end(connection);
-    } else {
-      this.#offer(connection);
-    }
+    this.#keepOrEnd(connection);
     this.demand.note(this.load, now);
   }
 
@@ -182,10 +185,16 @@
     this.#busy.delete(connection);
     if (this.#idle.remove(connection)) this.#options.onFailure();
     this.demand.note(this.load);
-    this.#log(Events.CONNECTION_CLOSED, { connection: connection.id });
+    this.#options.log(Events.CONNECTION_CLOSED, { connection: connection.id });
     this.#openForWaiters();
   }
 
+  #keepOrEnd(connection: PooledConnection): void {
+    const surplus = this.#open.size > this.#share;
+    if (this.#closedFor || surplus) this.#end(connection);
+    else this.#offer(connection);
+  }
+
   #end(connection: PooledConnection): void {
     this.#open.delete(connection);
     this.#ending.add(connection);
@@ -264,16 +273,12 @@
     this.#opened += 1;
     const connection = new PooledConnection(this.target, opened, this);
     this.#open.add(connection);
-    this.#log(Events.CONNECTION_OPENED, { connection: connection.id });
-    if (this.#closedFor || this.#open.size > this.#share) {
-      this.#end(connection);
-      return;
-    }
-    this.#offer(connection);
+    this.#options.log(Events.CONNECTION_OPENED, { connection: connection.id });
+    this.#keepOrEnd(connection);
   }
 
   #onFailed(failure: Failure, begun: number): void {
-    this.#log(Events.CONNECTION_REFUSED, { reason: failure.message });
+    this.#options.log(Events.CONNECTION_REFUSED, { reason: failure.message });
     if (failure.code === ResultCodes.UPSTREAM_REFUSED) return;
     this.#options.onFailure();
     const working = this.#releasedAt > begun;
@@ -291,13 +296,4 @@
   #failWaiters(failure: Failure): void {
     for (const waiter of this.#queue.clear()) waiter(err(failure));
   }
-
-  #log(kind: EventKind, fields: EventFields): void {
-    const { database, instance } = this.target;
-    this.#options.log.write(kind, { database, instance, ...fields });
-  }
-}
-
-function settled(loan: Loan): ResultAsync<PooledConnection, Failure> {
-  return new ResultAsync(Promise.resolve(loan));
 }
--- a/src/plugins/connections/shared_connections.ts
+++ b/src/plugins/connections/shared_connections.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { err, ResultAsync } from "neverthrow";
+import { errAsync, type ResultAsync } from "neverthrow";
 import { type EventLog, Events } from "../../kernel/events.ts";
 import type { Service } from "../../kernel/kernel.ts";
 import {
@@ -104,11 +104,11 @@
   acquire(
     request: ConnectionRequest,
   ): ResultAsync<UpstreamConnection, Failure> {
-    if (this.#draining) return failed(shuttingDown());
+    if (this.#draining) return errAsync(shuttingDown());
     const key = keyOf(request.database, request.instance);
     const entry = this.#entries.get(key) ?? this.#createEntry(request);
     if (!entry) {
-      return failed(createFailure(
+      return errAsync(createFailure(
         ResultCodes.UPSTREAM_UNREACHABLE,
         `the document in force names no instance ${request.instance} of ${request.database}`,
       ));
@@ -159,7 +159,12 @@
     };
     const pool = new InstancePool({
       target,
-      log,
+      log: (kind, fields) =>
+        log.write(kind, {
+          database: target.database,
+          instance: target.instance,
+          ...fields,
+        }),
       queueLength: group.queue.length,
       open: () => openUpstream(target, identity),
       onFailure: () => health.reportFailure(group.database, instance.name),
@@ -279,10 +284,6 @@
   return `${database}/${instance}`;
 }
 
-function failed(failure: Failure): ResultAsync<never, Failure> {
-  return new ResultAsync(Promise.resolve(err(failure)));
-}
-
 function shuttingDown(): Failure {
   return createFailure(ResultCodes.SHUTTING_DOWN, "this proxy is stopping");
 }
