--- a/src/plugins/failover/group_failover.ts
+++ b/src/plugins/failover/group_failover.ts
@@ -25,13 +25,14 @@
   wantedPrimary,
 } from "./switchover.ts";
 
-/** Distance of the looks at a group. */
-const LOOK_INTERVAL_MS = 20;
+/** Distance of the looks at a group while all is well, and while its primary is in doubt. */
+const CALM_INTERVAL_MS = 100;
+const DOUBT_INTERVAL_MS = 20;
 /** Time that a reason has to hold before a promotion is ordered. */
 const PATIENCE_MS: Readonly<Record<SuspicionReason, number>> = {
   silent: 0,
   isolated: 1_000,
-  absent: 100,
+  absent: 0,
 };
 /** Time that a promotion has to be withheld before it is logged. */
 const WITHHELD_MS = 500;
@@ -39,8 +40,8 @@
 const PROPOSAL_GRACE_MS = 300;
 const PROPOSAL_JITTER_MS = 150;
 /** Delay for each place in the order of proposers, and its random part. */
-const RANK_DELAY_MS = 60;
-const RANK_JITTER_MS = 40;
+const RANK_DELAY_MS = 100;
+const RANK_JITTER_MS = 50;
 /** Random delay of a proxy that knows of no other. */
 const ALONE_JITTER_MS = 150;
 /** Time that a planned change has to be wanted, further time for each rank, and pause after a change. */
@@ -82,12 +83,20 @@
   /** Looks at the group until `stop`. */
   async run(): Promise<void> {
     while (!this.#stopped) {
-      await sleep(LOOK_INTERVAL_MS);
+      await sleep(this.#interval());
       const view = this.#view();
       if (view) await this.#look(view);
     }
   }
 
+  #interval(): number {
+    const view = this.#view();
+    const primary = view?.instances.find((item) =>
+      item.instance.name === view.primary
+    );
+    return primary?.failures === 0 ? CALM_INTERVAL_MS : DOUBT_INTERVAL_MS;
+  }
+
   /** Ends the task after its present step. */
   stop(): void {
     this.#stopped = true;
--- a/standins/instance/database.ts
+++ b/standins/instance/database.ts
@@ -27,6 +27,8 @@
   #applier: Applier;
   #settings: SessionSettings | undefined;
   #readOnly = true;
+  /** Whether the schema may have changed since the capture was last refreshed. */
+  #captureIsStale = false;
   #applied = 0n;
 
   private constructor(log: Log, initSql: string, engine: Engine) {
@@ -65,14 +67,15 @@
   /** Writes the first entry of a term. */
   startTerm(term: number): void {
     this.setReadOnly(false);
-    this.#capture.refresh();
+    this.#captureIsStale = true;
     this.#log.write(term, []);
     this.#applied = this.#log.end;
   }
 
   /** Records what the transaction that just ended has changed; called before its answer is sent. */
   commit(term: number, schemaChanged: boolean): void {
-    if (schemaChanged) this.#capture.refresh();
+    if (schemaChanged || this.#captureIsStale) this.#capture.refresh();
+    this.#captureIsStale = false;
     const changes = this.#capture.take();
     if (changes.length === 0) return;
     this.#log.write(term, changes);
@@ -104,7 +107,8 @@
 
   /** Starts anew and applies the whole log; others wait at the gate meanwhile. */
   async rebuild(): Promise<void> {
-    await this.gate.acquire(this);
+    const holder = {};
+    await this.gate.acquire(holder);
     const former = this.#engine;
     this.#engine = await Engine.create();
     this.#capture = new Capture(this.#engine);
@@ -113,11 +117,10 @@
     this.#applied = 0n;
     this.#capture.start(this.#initSql);
     await former.close().catch(() => {});
-    const end = this.#log.end;
-    while (this.#applied < end) {
+    while (this.#applied < this.#log.end) {
       this.applyUntil(Infinity);
       await new Promise((resolve) => setImmediate(resolve));
     }
-    this.gate.release(this);
+    this.gate.release(holder);
   }
 }
--- a/standins/instance/statement.ts
+++ b/standins/instance/statement.ts
@@ -7,11 +7,11 @@
 import { parseSync } from "libpg-query";
 
 const SUSPECT =
-  /\b(copy|prepare|execute|deallocate|discard|listen|unlisten|hold|currval|lastval|pg_(try_)?advisory_\w+|session_replication_role|session\s+characteristics|(default_)?transaction_read_only|read\s+write)\b/i;
+  /\b(copy|prepare|execute|deallocate|discard|listen|unlisten|hold|currval|lastval|pg_(try_)?advisory_\w+|session_replication_role|session\s+characteristics|(default_)?transaction_read_only|read\s+write|(create|alter|drop)\s+(role|user|group|database|tablespace|system))\b/i;
 const SCHEMA_WORD =
   /\b(create|alter|drop|comment|grant|revoke|reindex|refresh|security|into)\b/i;
 const SEQUENCE = /\b(nextval|setval)\s*\(/i;
-const SETTING = /\b(set|reset|set_config)\b/i;
+const SETTING = /(?:^|;)\s*(?:set|reset)\b|\bset_config\s*\(/i;
 const CUSTOM_SETTING =
   /\bset(?:_config\s*\(\s*'|\s+(?:session\s+)?)([a-z_][\w$]*\.[a-z_][\w$]*)/gi;
 const SLEEP = /\bpg_sleep\s*\(\s*'?(\d+(?:\.\d+)?)/i;
@@ -38,13 +38,14 @@
 /** Inspects one text. */
 export function inspectStatement(text: string): Statement {
   const word = firstWord(text);
-  const all = /^(discard|deallocate)\s+all\b/i.test(text.replace(COMMENTS, ""));
+  const bare = text.replace(COMMENTS, "");
+  const all = /^(discard|deallocate)\s+all\b/i.test(bare);
   return {
     text,
     unsupported: all ? undefined : findUnsupported(text, word),
     readWrite: /\bread\s+write\b/i.test(text),
     changesSequence: SEQUENCE.test(text),
-    changesSettings: SETTING.test(text) || all,
+    changesSettings: SETTING.test(bare) || all,
     customSettings: [...text.matchAll(CUSTOM_SETTING)].map(([, name]) => name!),
     sleep: Number(SLEEP.exec(text)?.[1] ?? 0) * 1_000,
     deallocatesAll: all,
@@ -78,6 +79,9 @@
   if ([...words, "listen", "unlisten"].includes(word)) {
     return `${word.toUpperCase()} is not supported`;
   }
+  if (SHARED_OBJECT.test(text.replace(COMMENTS, ""))) {
+    return "objects outside the database are not supported";
+  }
   if (word === "copy" && /\bfrom\b/i.test(text)) {
     return "COPY FROM is not supported";
   }
@@ -96,6 +100,10 @@
   return undefined;
 }
 
+// These raise no event for the capture, so replicas would not learn of them.
+const SHARED_OBJECT =
+  /^(create|alter|drop)\s+(role|user|group|database|tablespace|system)\b/i;
+
 const REPLICATION_SETTING =
   /session_replication_role|session\s+characteristics|transaction_read_only/i;
 
--- a/test/health_test.ts
+++ b/test/health_test.ts
@@ -1,7 +1,9 @@
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
+import { Registry } from "prom-client";
 import { ResultCodes } from "../src/kernel/result_codes.ts";
+import { registerHealthMetrics } from "../src/plugins/health/health_metrics.ts";
 import { HealthMonitor } from "../src/plugins/health/health_monitor.ts";
 import {
   createInstance,
@@ -47,9 +49,12 @@
   const soon = () => performance.now() + SOON_MS;
   const later = () => performance.now() + LONG_MS;
 
+  const confirm = (lsn: bigint, deadline: number) =>
+    health.confirm(DATABASE, { term: 1, lsn }, deadline);
+
   describe("confirmation of a write", () => {
     it("holds once a majority received the position", async () => {
-      const waiting = health.confirm(DATABASE, { term: 1, lsn: 120n }, later());
+      const waiting = confirm(120n, later());
       control.statuses.set(
         "a",
         createStatus({ role: "primary", received: 130n }),
@@ -63,11 +68,7 @@
         "a",
         createStatus({ role: "primary", received: 130n }),
       );
-      const result = await health.confirm(
-        DATABASE,
-        { term: 1, lsn: 120n },
-        soon(),
-      );
+      const result = await confirm(120n, soon());
       expect(result._unsafeUnwrapErr().code).toEqual(
         ResultCodes.ACKNOWLEDGE_DEADLINE,
       );
@@ -78,11 +79,7 @@
       control.statuses.set("a", createStatus({ received: 130n }));
       control.statuses.set("b", createStatus({ ...history, received: 900n }));
       control.statuses.set("c", createStatus({ ...history, received: 900n }));
-      const result = await health.confirm(
-        DATABASE,
-        { term: 1, lsn: 120n },
-        soon(),
-      );
+      const result = await confirm(120n, soon());
       expect(result.isErr()).toEqual(true);
     });
 
@@ -96,7 +93,7 @@
     });
 
     it("ends at once when a new primary lacks the position", async () => {
-      const waiting = health.confirm(DATABASE, { term: 1, lsn: 120n }, later());
+      const waiting = confirm(120n, later());
       leadBy("b", 100n);
       expect((await waiting)._unsafeUnwrapErr().code).toEqual(
         ResultCodes.OUTCOME_UNKNOWN,
@@ -104,7 +101,7 @@
     });
 
     it("holds when a majority of a new term contains the position", async () => {
-      const waiting = health.confirm(DATABASE, { term: 1, lsn: 120n }, later());
+      const waiting = confirm(120n, later());
       leadBy("b", 125n);
       expect((await waiting).isOk()).toEqual(true);
     });
@@ -279,6 +276,15 @@
     });
   });
 
+  it("shows terms and ages as metrics", async () => {
+    await health.primary(DATABASE, later());
+    const registry = new Registry();
+    registerHealthMetrics(registry, health, () => [DATABASE]);
+    const text = await registry.metrics();
+    expect(text).toInclude('marjoramshed_group_term{database="booking"} 1');
+    expect(text).toInclude('database="booking",instance="a"');
+  });
+
   it("keeps its state when the document changes", async () => {
     await health.primary(DATABASE, later());
     const other = createGroup(instances, { preferredPrimary: "b" });
