Ledger: old requests are purged by one proxy

Purpose: the document's ledger.keep had no effect; the ledger grew without end. The live proxy with the lowest name removes old requests every ten minutes through the primary. Not tested with a clock of ten minutes.

The statements that the proxy answers itself moved out of session.ts.

--- a/src/commands/proxy.ts
+++ b/src/commands/proxy.ts
@@ -54,6 +54,7 @@
       "membership",
       "metrics",
       "status",
+      "ledger_purge",
     ]);
     this.context.stdout.write(
       JSON.stringify(describe(kernel, settings.value)) + "\n",
--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -51,6 +51,7 @@
   READ_REPEATED: event(407, "read-repeated", "info"),
   REQUEST_SETTLED: event(408, "request-settled", "info"),
   REQUEST_REPEATED: event(409, "request-repeated", "info"),
+  LEDGER_PURGED: event(410, "ledger-purged", "info"),
   PRIMARY_SUSPECTED: event(501, "primary-suspected", "warn"),
   PRIMARY_FOUND: event(502, "primary-found", "info"),
   FENCED: event(503, "fenced", "info"),
--- /dev/null
+++ b/src/plugins/callers/local_commands.ts
@@ -0,0 +1,43 @@
+/**
+ * Statements that the proxy answers itself: its own settings, and the SQL form
+ * of closing a prepared statement.
+ *
+ * @module
+ */
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import type { LocalAnswer } from "./local_answer.ts";
+import type { Plan } from "./plan.ts";
+import type { SessionState } from "./session_state.ts";
+
+/** The answer or the refusal of such a statement; undefined for all others. */
+export function answerLocally(
+  plan: Plan,
+  state: SessionState,
+): LocalAnswer | Failure | undefined {
+  const single = plan.single;
+  if (single?.proxySetting) {
+    const set = state.set(single.proxySetting);
+    return set.isErr() ? set.error : { tag: "SET" };
+  }
+  if (single?.proxyShow !== undefined) {
+    const name = single.proxyShow;
+    const value = state.show(name);
+    if (value === undefined) return unknownSetting(name);
+    return { tag: "SHOW", column: `marjoramshed.${name}`, value };
+  }
+  if (single?.deallocates === undefined) return undefined;
+  const known = state.statements.delete(single.deallocates);
+  return known ? { tag: "DEALLOCATE" } : undefined;
+}
+
+function unknownSetting(name: string): Failure {
+  return createFailure(
+    ResultCodes.PROTOCOL_UNSUPPORTED,
+    `marjoramshed.${name} is not a setting`,
+    { hint: "Known are position, session, kind and request." },
+  );
+}
--- a/src/plugins/callers/primary_lender.ts
+++ b/src/plugins/callers/primary_lender.ts
@@ -22,6 +22,9 @@
 /** Pause before another attempt after the primary could not be reached, in ms. */
 const RETRY_PAUSE_MS = 20;
 
+/** What a loan needs. */
+export type LendingContext = Pick<CallerContext, "connections" | "health">;
+
 /** A connection to the primary. */
 export interface PrimaryLoan {
   readonly connection: UpstreamConnection;
@@ -30,7 +33,7 @@
 
 /** Waits for a confirmed primary and for a connection to it, both until the deadline (monotonic ms). */
 export async function lendPrimary(
-  context: CallerContext,
+  context: LendingContext,
   group: Group,
   priority: Priority,
   deadline: number,
@@ -53,7 +56,7 @@
 }
 
 async function confirmPrimary(
-  context: CallerContext,
+  context: LendingContext,
   group: Group,
   deadline: number,
 ): Promise<Result<void, Failure>> {
--- a/src/plugins/callers/session.ts
+++ b/src/plugins/callers/session.ts
@@ -27,6 +27,7 @@
 import { CallerOutput } from "./caller_output.ts";
 import { runRequest } from "./ledger_run.ts";
 import { createLocalAnswer, type LocalAnswer } from "./local_answer.ts";
+import { answerLocally } from "./local_commands.ts";
 import { createPlan, type Plan } from "./plan.ts";
 import { runRead } from "./read_run.ts";
 import { type HeldConnection, type Run, type RunEnd } from "./run.ts";
@@ -143,7 +144,7 @@
     );
     if (plan.copy) return await this.#refuse(unit, unsupportedCommand());
     if (this.#transactionLost) return await this.#handleLost(unit, plan);
-    const local = this.#answerLocally(plan);
+    const local = answerLocally(plan, this.#state);
     if (local) return await this.#giveLocal(unit, local);
     const run = this.#createRun(unit, plan, group);
     const end = await this.#dispatch(run);
@@ -210,25 +211,6 @@
     await this.#refuse(run.unit, end.failure);
   }
 
-  /** Statements that the proxy answers itself. */
-  #answerLocally(plan: Plan): LocalAnswer | Failure | undefined {
-    const single = plan.single;
-    if (single?.proxySetting) {
-      const set = this.#state.set(single.proxySetting);
-      return set.isErr() ? set.error : { tag: "SET" };
-    }
-    if (single?.proxyShow !== undefined) {
-      const value = this.#state.show(single.proxyShow);
-      if (value === undefined) return unknownSetting(single.proxyShow);
-      return { tag: "SHOW", column: `marjoramshed.${single.proxyShow}`, value };
-    }
-    if (single?.deallocates !== undefined) {
-      const known = this.#state.statements.delete(single.deallocates);
-      if (known) return { tag: "DEALLOCATE" };
-    }
-    return undefined;
-  }
-
   async #giveLocal(unit: Unit, answer: LocalAnswer | Failure): Promise<void> {
     if ("code" in answer) return await this.#refuse(unit, answer);
     noteLocalStatements(unit.messages, this.#state.statements);
@@ -308,14 +290,6 @@
   );
 }
 
-function unknownSetting(name: string): Failure {
-  return createFailure(
-    ResultCodes.PROTOCOL_UNSUPPORTED,
-    `marjoramshed.${name} is not a setting`,
-    { hint: "Known are position, session, kind and request." },
-  );
-}
-
 function unsupportedCommand(): Failure {
   return createFailure(
     ResultCodes.PROTOCOL_UNSUPPORTED,
--- /dev/null
+++ b/src/plugins/ledger/ledger_purge.ts
@@ -0,0 +1,89 @@
+/**
+ * Removes requests from the ledgers that are older than the document's
+ * `ledger.keep`. One proxy does it: the live one with the lowest name.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { type EventLog, Events } from "../../kernel/events.ts";
+import type { Service } from "../../kernel/kernel.ts";
+import { Exchange } from "../callers/exchange.ts";
+import { lendPrimary } from "../callers/primary_lender.ts";
+import { runInternal } from "../callers/run.ts";
+import type { Configuration } from "../configuration/configuration.ts";
+import type { Connections } from "../connections/connections.ts";
+import type { Group } from "../document/document.ts";
+import type { Health } from "../health/health.ts";
+import type { Membership } from "../membership/membership.ts";
+import type { Ledger } from "./ledger.ts";
+
+const PURGE_INTERVAL_MS = 600_000;
+/** Longest wait for a primary and a connection. */
+const PURGE_DEADLINE_MS = 10_000;
+
+/** What a purge works with. */
+export interface LedgerPurgeOptions {
+  readonly log: EventLog;
+  /** Name of this proxy. */
+  readonly name: string;
+  readonly configuration: Configuration;
+  readonly connections: Connections;
+  readonly health: Health;
+  readonly membership: Membership;
+  readonly ledger: Ledger;
+  /** Distance of the purges in ms; default 10 minutes. */
+  readonly interval?: number;
+}
+
+/** The task that purges. */
+export class LedgerPurge implements Service {
+  readonly #options: LedgerPurgeOptions;
+  readonly #stopped = new AbortController();
+
+  constructor(options: LedgerPurgeOptions) {
+    this.#options = options;
+  }
+
+  start(): Promise<void> {
+    void this.#run();
+    return Promise.resolve();
+  }
+
+  stop(): Promise<void> {
+    this.#stopped.abort();
+    return Promise.resolve();
+  }
+
+  async #run(): Promise<void> {
+    const { interval = PURGE_INTERVAL_MS } = this.#options;
+    const { signal } = this.#stopped;
+    while (!signal.aborted) {
+      await sleep(interval, undefined, { signal, ref: false }).catch(() => {});
+      if (signal.aborted || !this.#isFirst()) continue;
+      const groups = this.#options.configuration.environment()?.groups ?? [];
+      for (const group of groups) await this.#purge(group);
+    }
+  }
+
+  #isFirst(): boolean {
+    const names = this.#options.membership.alive().map((item) => item.name);
+    return names.every((name) => name >= this.#options.name);
+  }
+
+  async #purge(group: Group): Promise<void> {
+    const { ledger, log } = this.#options;
+    const deadline = performance.now() + PURGE_DEADLINE_MS;
+    const lent = await lendPrimary(this.#options, group, "low", deadline);
+    if (lent.isErr()) return;
+    const exchange = new Exchange(lent.value.connection);
+    const text = ledger.purgeText(group.ledger.keep);
+    const answer = await runInternal(exchange, text);
+    exchange.finish(answer.status === "I");
+    const absent = answer.error && ledger.isAbsent(answer.error.sqlState);
+    if (absent) return;
+    log.write(Events.LEDGER_PURGED, {
+      database: group.database,
+      ...(answer.error ? { failure: answer.error.message } : {}),
+    });
+  }
+}
