Connections: one a cancel was sent for isn't lent again; silent instances are given up

Cause: a write's connection went back to the pool before the majority's acknowledgement, while the session still named it for cancel requests, and a cancel takes its own connection to arrive. Before: with 30 callers and cancels every 5 ms another caller's statement ended with 57014 (test/whole_answer_test.ts, late cancel). The session now lets go of the connection with its return, and a connection that a cancel was sent for is closed when it comes back.

A statement at a frozen or cut-off instance was waited for without end: seen as a hang of test/not_run_test.ts with all instances frozen. Busy connections of an instance that doesn't answer are closed once it is replaced, or after 10 s; 2 s was tried and cut off an instance that was busy with a large answer.

A write that the session's own default_transaction_read_only refuses is given to the caller; the stand-in refuses that setting, so this has no test.

--- a/src/plugins/callers/ledger_run.ts
+++ b/src/plugins/callers/ledger_run.ts
@@ -170,6 +170,7 @@
     return { kind: "unknown", failure: unknownOutcome(instance) };
   }
   const position = await readPosition(exchange);
+  run.track(undefined);
   exchange.finish(!committed.error);
   if (committed.error) {
     return { kind: "unknown", failure: unknownOutcome(instance) };
@@ -192,6 +193,7 @@
   exchange.send([createQuery(ledger.lookupText(id)), POSITION_QUERY], 2);
   const found = await exchange.readInternal();
   const position = found.lost ? undefined : await readPosition(exchange);
+  run.track(undefined);
   exchange.finish(!found.lost);
   const row = found.rows[0];
   if (!row || !position) {
--- a/src/plugins/callers/run.ts
+++ b/src/plugins/callers/run.ts
@@ -31,7 +31,7 @@
   readonly plan: Plan;
   readonly next: NextUnit;
   /** Tells the session which connection runs the unit, for a cancel request. */
-  readonly track: (connection: UpstreamConnection) => void;
+  readonly track: (connection: UpstreamConnection | undefined) => void;
   /** Monotonic ms until which the unit may wait before it runs. */
   readonly deadline: number;
 }
@@ -66,6 +66,7 @@
 
 /** SQLSTATEs with which an upstream ends its connections. */
 const UPSTREAM_STOP_STATES: ReadonlySet<string> = new Set([
+  "25P03",
   "57P01",
   "57P02",
   "57P03",
--- a/src/plugins/callers/session_state.ts
+++ b/src/plugins/callers/session_state.ts
@@ -52,7 +52,12 @@
     return moved ? undefined : this.#position;
   }
 
-  /** The last position that this connection has seen, as text; empty when none. */
+  /** The last position that this connection has seen. */
+  get lastPosition(): Position | undefined {
+    return this.#position;
+  }
+
+  /** The same as text; empty when none. */
   positionText(): string {
     return this.#position ? formatPosition(this.#position) : "";
   }
@@ -92,6 +97,11 @@
     return undefined;
   }
 
+  /** Whether the caller's own settings make an instance refuse its writes. */
+  get forbidsWrites(): boolean {
+    return this.settings.has("default_transaction_read_only");
+  }
+
   /** Takes a setting that is replayed on the connections that run later statements. */
   replay(setting: ReplayedSetting): void {
     if (setting.name === "all") return this.settings.clear();
--- a/src/plugins/callers/write_run.ts
+++ b/src/plugins/callers/write_run.ts
@@ -69,7 +69,9 @@
     next: run.next,
     epilogue: writes ? [POSITION_QUERY] : [],
     keepsError: (error) => {
-      const kept = !sink.holds && isNotPrimary(error) || isUpstreamStop(error);
+      const replaced = !sink.holds && isNotPrimary(error) &&
+        !state.forbidsWrites;
+      const kept = replaced || isUpstreamStop(error);
       if (kept) refused = error;
       return kept;
     },
@@ -85,7 +87,7 @@
   const idle = end.status === "I";
   if (idle && !end.error) noteSessionState(plan, state, exchange);
   // The connection goes back before the acknowledgement, which needs no connection.
-  if (idle && !pinned) exchange.finish(true);
+  if (idle && !pinned) giveBack(run, exchange);
   const failure = sink.holds && writes && idle
     ? await acknowledge(run, position, instance)
     : undefined;
@@ -108,6 +110,12 @@
   return { kind: "held", held };
 }
 
+/** Gives the connection back; a cancel request no longer reaches what runs there next. */
+function giveBack(run: Run, exchange: Exchange): void {
+  run.track(undefined);
+  exchange.finish(true);
+}
+
 /** Reads the answer to POSITION_QUERY, which was sent behind the unit. */
 export async function readPosition(
   exchange: Exchange,
--- a/src/plugins/connections/connections.ts
+++ b/src/plugins/connections/connections.ts
@@ -37,6 +37,8 @@
   readonly settings: Map<string, string>;
   /** Gives the connection back. Only one that stands idle, outside a transaction, with its answer read to the end. */
   release(): void;
+  /** Notes that a cancel request is sent for it: it is closed when it comes back. */
+  cancel(): void;
   /** Closes the connection; for every other case. */
   destroy(): void;
 }
--- a/src/plugins/connections/instance_pool.ts
+++ b/src/plugins/connections/instance_pool.ts
@@ -148,6 +148,11 @@
   /** Closes all connections, lent ones too. */
   destroy(failure: Failure): void {
     this.close(failure);
+    this.destroyBusy();
+  }
+
+  /** Closes the lent connections; their borrowers see them as lost. */
+  destroyBusy(): void {
     for (const connection of [...this.#busy]) connection.destroy();
   }
 
--- a/src/plugins/connections/pooled_connection.ts
+++ b/src/plugins/connections/pooled_connection.ts
@@ -41,6 +41,7 @@
 
   readonly #owner: ConnectionOwner;
   #lent = false;
+  #canceled = false;
   #closing = false;
 
   constructor(
@@ -87,13 +88,18 @@
     this.#lent = false;
     for (const event of READER_EVENTS) this.socket.removeAllListeners(event);
     this.socket.pause();
-    if (!this.sound) {
+    if (!this.sound || this.#canceled) {
       this.destroy();
       return;
     }
     this.#owner.released(this);
   }
 
+  /** Notes that a cancel request was sent for it, which may still arrive after the statement has ended. */
+  cancel(): void {
+    this.#canceled = true;
+  }
+
   destroy(): void {
     this.#lent = false;
     this.#closing = true;
--- a/src/plugins/connections/shared_connections.ts
+++ b/src/plugins/connections/shared_connections.ts
@@ -14,7 +14,7 @@
 } from "../../kernel/result_codes.ts";
 import type { Configuration } from "../configuration/configuration.ts";
 import type { Group, Instance } from "../document/document.ts";
-import type { Health } from "../health/health.ts";
+import type { Health, InstanceView } from "../health/health.ts";
 import type { Membership } from "../membership/membership.ts";
 import { splitBudget } from "./budget.ts";
 import type {
@@ -51,6 +51,12 @@
 
 const DRAIN_POLL_MS = 20;
 
+/** An instance that has not answered for this long, in ms, keeps no statement waiting. */
+const SILENCE_MS = 10_000;
+
+/** Failed probes in a row without which silence may be a pause of this process. */
+const SILENCE_FAILURES = 3;
+
 interface Entry {
   readonly pool: InstancePool;
   limit: number;
@@ -129,6 +135,7 @@
     const entry = this.#entries.get(keyOf(database, instance));
     if (!entry) return;
     const { identity } = this.#options;
+    connection.cancel();
     await cancelUpstream(entry.pool.target, identity, connection);
   }
 
@@ -204,14 +211,14 @@
       if (entry.stale) this.#share(entry);
       entry.pool.maintain(now);
       this.#heedLeaving(entry, now);
+      this.#heedSilence(entry, now);
     }
     this.#publish(now);
   }
 
   #heedLeaving(entry: Entry, now: number): void {
-    const { database, instance } = entry.pool.target;
-    const view = this.#options.health.view(database)?.instances
-      .find((item) => item.instance.name === instance);
+    const { instance } = entry.pool.target;
+    const view = this.#view(entry);
     if (!view?.leaving) {
       if (entry.leavingSince !== undefined) entry.pool.reopen();
       entry.leavingSince = undefined;
@@ -225,6 +232,27 @@
     ));
   }
 
+  /** Ends the connections of an instance that fell silent, so that their statements are not waited for without end. */
+  #heedSilence(entry: Entry, now: number): void {
+    if (entry.pool.use.busy === 0) return;
+    const view = this.#view(entry);
+    if (!view || view.failures < SILENCE_FAILURES) return;
+    const replaced = view.status?.role === "primary" && this.#isReplaced(entry);
+    if (replaced || now - view.statusAt > SILENCE_MS) entry.pool.destroyBusy();
+  }
+
+  #isReplaced(entry: Entry): boolean {
+    const { database, instance } = entry.pool.target;
+    const primary = this.#options.health.view(database)?.primary;
+    return primary !== undefined && primary !== instance;
+  }
+
+  #view(entry: Entry): InstanceView | undefined {
+    const { database, instance } = entry.pool.target;
+    return this.#options.health.view(database)?.instances
+      .find((item) => item.instance.name === instance);
+  }
+
   #publish(now: number): void {
     if (now - this.#publishedAt < PUBLISH_INTERVAL_MS) return;
     const pools = [...this.#entries.values()].map(({ pool }) => pool);
