Callers: one error for a lost connection, nothing run after the farewell, COMMIT confirmed before a later error

Causes, found by reading and by the tests of the promises: - an upstream's own 57P01 in a transaction reached the caller and was followed by the proxy's error, two for one statement; on a COMMIT the first, which callers read as not run, was false. It is kept, as in single writes. - a statement that arrived just after the farewell of a stopping proxy was run although 57P01 said not run. - an error after COMMIT in one text gave the commit's answer unconfirmed. - a token in a comment replaced what an idle named connection had itself seen. - a SET inside a transaction was lost to its own caller after COMMIT; such a session now keeps its connection to the primary.

--- a/src/plugins/callers/read_run.ts
+++ b/src/plugins/callers/read_run.ts
@@ -54,7 +54,9 @@
   const known = state.position(performance.now());
   const chosen = await run.context.routing.chooseRead({
     database: group.database,
-    position: joinPositions(known, plan.position),
+    position: known || plan.position
+      ? joinPositions(state.lastPosition, plan.position)
+      : undefined,
     maxAge: resolveMaxAge(run),
     lastWriteAt: state.lastWriteAt,
     deadline: run.deadline,
@@ -96,7 +98,7 @@
     next: run.next,
     epilogue: [],
     keepsError: (error) => {
-      if (output.written !== before || !isUpstreamStop(error)) return false;
+      if (!isUpstreamStop(error)) return false;
       kept = error;
       return true;
     },
@@ -147,13 +149,12 @@
   return matching?.maxAge ?? reads.maxAge;
 }
 
-/** The later of the session's position and the statement's; unknown when the session's is and the caller gives none. */
+/** The later of what this connection has seen and what the caller gives. */
 function joinPositions(
-  known: Position | undefined,
+  seen: Position | undefined,
   given: Position | undefined,
 ): Position | undefined {
-  if (known && given) return laterPosition(known, given);
-  return given ?? known;
+  return seen && given ? laterPosition(seen, given) : given ?? seen;
 }
 
 function truncated(instance: string): Failure {
--- a/src/plugins/callers/session.ts
+++ b/src/plugins/callers/session.ts
@@ -67,6 +67,8 @@
   #transactionLost = false;
   #waiting = false;
   #draining = false;
+  /** Whether the caller was told that nothing more runs here. */
+  #goodbyeSaid = false;
 
   constructor(
     context: CallerContext,
@@ -114,7 +116,7 @@
         return this.#sayGoodbye();
       }
       const unit = await this.#nextUnit();
-      if (!unit) return;
+      if (!unit || this.#goodbyeSaid) return;
       await this.#handle(unit);
       this.#state.touch(performance.now());
     }
@@ -273,6 +275,7 @@
   }
 
   #sayGoodbye(): void {
+    this.#goodbyeSaid = true;
     const failure = createFailure(
       ResultCodes.SHUTTING_DOWN,
       "the proxy is stopping; connect again",
--- a/src/plugins/callers/transaction_run.ts
+++ b/src/plugins/callers/transaction_run.ts
@@ -16,6 +16,7 @@
   ANSWERED,
   createPositionMessage,
   type HeldConnection,
+  isUpstreamStop,
   noteSessionState,
   POSITION_QUERY,
   type Run,
@@ -45,6 +46,7 @@
     unit: run.unit,
     next: run.next,
     epilogue: [],
+    keepsError: isUpstreamStop,
   }, sink);
   if (end.lost) return afterLoss(run, held, false);
   const effect = run.plan.effect === "write" ? "write" : "read";
@@ -59,10 +61,12 @@
     unit: run.unit,
     next: run.next,
     epilogue: [POSITION_QUERY],
+    keepsError: isUpstreamStop,
   }, sink);
   if (end.lost) return afterLoss(run, held, true);
   const position = await readPosition(held.exchange);
-  const committed = sink.holds && end.status === "I" && !end.error;
+  // An error after the COMMIT of the same text doesn't undo it.
+  const committed = sink.holds && end.status === "I";
   const failure = committed
     ? await acknowledge(run, position, held.instance)
     : undefined;
@@ -84,8 +88,14 @@
   return step === "commit" || run.plan.mixedTransaction;
 }
 
+/** Whether the connection now has state of the session; what becomes of a SET in a transaction is known to the connection alone. */
+function keepsState({ plan }: Run, held: HeldConnection): boolean {
+  const sets = plan.single?.replayed !== undefined && held.inTransaction;
+  return plan.pinned || sets && held.target === "primary";
+}
+
 function keepOrFinish(run: Run, held: HeldConnection, end: AnswerEnd): RunEnd {
-  const pinned = held.pinned || run.plan.pinned && !end.error;
+  const pinned = held.pinned || keepsState(run, held) && !end.error;
   const inTransaction = end.status !== "I";
   if (!inTransaction && !end.error) {
     noteSessionState(run.plan, run.state, held.exchange);
