--- /dev/null
+++ b/test/replaced_primary_test.ts
@@ -0,0 +1,151 @@
+/**
+ * No write is acknowledged by a primary that has been replaced: isolated with a
+ * proxy, with commits in flight, or frozen and resumed under load.
+ *
+ * @module
+ */
+import { after, afterEach, before, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { expect } from "earl";
+import { createDeployment, type Deployment } from "./support/deployment.ts";
+import { eventually } from "./support/eventually.ts";
+import {
+  book,
+  compareRecords,
+  NONE,
+  Writer,
+  type WriteRecord,
+} from "./support/outcome.ts";
+
+const WRITERS_PER_PROXY = 3;
+
+describe("a replaced primary", () => {
+  let deployment: Deployment;
+
+  before(async () => {
+    deployment = await createDeployment();
+  });
+  afterEach(async () => {
+    await deployment.heal();
+  });
+  after(async () => {
+    await deployment?.stack.stop();
+  });
+
+  function startWriters(): readonly Writer[] {
+    return deployment.proxies.flatMap((proxy) =>
+      Array.from(
+        { length: WRITERS_PER_PROXY },
+        (_, n) =>
+          new Writer(`${proxy}-${n}-${Date.now()}`, () =>
+            deployment.connect(proxy)),
+      )
+    );
+  }
+
+  async function stopWriters(
+    writers: readonly Writer[],
+  ): Promise<readonly WriteRecord[]> {
+    await Promise.all(writers.map((one) => one.stop()));
+    return writers.flatMap((one) => one.records);
+  }
+
+  async function expectNothingLost(
+    records: readonly WriteRecord[],
+  ): Promise<void> {
+    const rows = await deployment.texts(
+      await deployment.primary(),
+      "SELECT booking FROM bookings",
+    );
+    expect(compareRecords(records, rows)).toEqual(NONE);
+  }
+
+  async function landAfter(writers: readonly Writer[]): Promise<void> {
+    const before = writers.map((one) => one.count("acknowledged"));
+    await eventually(
+      () =>
+        writers.some((one, n) => one.count("acknowledged") > before[n]! + 5),
+      "writes land again",
+    );
+  }
+
+  it("acknowledges nothing in its cut-off zone after the promotion", async () => {
+    const old = await deployment.primary();
+    const zone = deployment.zoneOf(old);
+    const inside = deployment.proxies.filter((one) =>
+      deployment.zoneOf(one) === zone
+    );
+    expect(inside.length > 0).toEqual(true);
+    const writers = startWriters();
+    await eventually(
+      () => writers.every((one) => one.count("acknowledged") > 5),
+      "all write",
+    );
+    await deployment.cutZone(zone);
+    const next = await deployment.replaced(old);
+    const promotedAt = performance.now();
+    const isolated = writers.filter((_, n) =>
+      inside.includes(deployment.proxies[Math.floor(n / WRITERS_PER_PROXY)]!)
+    );
+    await landAfter(writers.filter((one) => !isolated.includes(one)));
+    await delay(1_000);
+    const late = isolated.flatMap((one) => one.records)
+      .filter((one) => one.told === "acknowledged" && one.at > promotedAt);
+    expect(late).toEqual([]);
+    const atOld = await deployment.texts(old, "SELECT booking FROM bookings");
+    const atNext = await deployment.texts(next, "SELECT booking FROM bookings");
+    const unshared = atOld.filter((text) => !atNext.includes(text));
+    const acknowledged = new Set(
+      writers.flatMap((one) => one.records)
+        .filter((one) => one.told === "acknowledged").map((one) => one.text),
+    );
+    expect(unshared.filter((text) => acknowledged.has(text))).toEqual([]);
+    await deployment.stack.setNetworkFaults([]);
+    await landAfter(isolated);
+    const records = await stopWriters(writers);
+    await deployment.heal();
+    await expectNothingLost(records);
+  });
+
+  it("acknowledges no commit that was in flight when it was cut off", async () => {
+    const old = await deployment.primary();
+    const zone = deployment.zoneOf(old);
+    const proxy = deployment.proxies.find((one) =>
+      deployment.zoneOf(one) === zone
+    )!;
+    const client = await deployment.connect(proxy);
+    await client.query("BEGIN");
+    expect((await book(client, "in-flight")).told).toEqual("acknowledged");
+    await deployment.cutZone(zone);
+    const answer = client.query("COMMIT").then(
+      () => "acknowledged",
+      (error) => String(error.code),
+    );
+    const single = await deployment.connect(proxy)
+      .then((other) => book(other, "single-in-flight"));
+    expect(await answer).toEqual("08007");
+    expect(single.told === "acknowledged").toEqual(false);
+    await deployment.replaced(old);
+    await deployment.heal();
+    await expectNothingLost([single]);
+    await client.end();
+  });
+
+  it("frozen and resumed under load, keeps every acknowledged write", async () => {
+    const writers = startWriters();
+    for (let round = 0; round < 2; round += 1) {
+      const old = await deployment.primary();
+      await delay(300);
+      deployment.stack.process(old).freeze();
+      await deployment.replaced(old);
+      await landAfter(writers);
+      deployment.stack.process(old).resume();
+      await landAfter(writers);
+      await deployment.heal();
+    }
+    const records = await stopWriters(writers);
+    expect(records.filter((one) => one.told === "acknowledged").length > 50)
+      .toEqual(true);
+    await expectNothingLost(records);
+  });
+});
