--- a/src/plugins/callers/session.ts
+++ b/src/plugins/callers/session.ts
@@ -68,7 +68,8 @@
   #transactionLost = false;
   #waiting = false;
   #draining = false;
-  #ended = false;
+  /** Whether the caller was told that nothing more runs here. */
+  #goodbyeSaid = false;
 
   constructor(
     context: CallerContext,
@@ -119,7 +120,7 @@
       }
       const unit = await this.#nextUnit();
       // What arrives together with the goodbye was told "not run".
-      if (!unit || this.#ended) return;
+      if (!unit || this.#goodbyeSaid) return;
       await this.#handle(unit);
       this.#state.touch(performance.now());
     }
@@ -259,8 +260,8 @@
   }
 
   #sayGoodbye(): void {
-    if (this.#ended) return;
-    this.#ended = true;
+    if (this.#goodbyeSaid) return;
+    this.#goodbyeSaid = true;
     const failure = createFailure(
       ResultCodes.SHUTTING_DOWN,
       "the proxy is stopping; connect again",
