Instance: a terminated connection runs nothing that it had sent already

A fence rolled a transaction back and ended its connection while the caller's next statement was on its way; the connection's task still read it and ran it outside the transaction, after the promotion. Ruled out: a lost answer of COMMIT, which is written in the same step as the commit.

--- a/standins/instance/engine_access.ts
+++ b/standins/instance/engine_access.ts
@@ -38,6 +38,7 @@
   #settings: SessionSettings;
   #settingsChanged = false;
   #status: TransactionStatus = "I";
+  #closed = false;
   #wrote = false;
   #schemaChanged = false;
 
@@ -68,6 +69,7 @@
 
   /** Waits for the gate and puts the connection's settings in force. */
   async enter(): Promise<void> {
+    if (this.#closed) throw LEFT;
     if (this.held) return;
     const { database } = this.#instance;
     await database.gate.acquire(this);
@@ -80,6 +82,13 @@
     }
   }
 
+  /** Rolls back what is open and runs nothing more, also not what has arrived already. */
+  close(reason: SqlFailure): void {
+    this.#closed = true;
+    this.abandon(reason);
+    this.rollback();
+  }
+
   /** Ends the wait for the gate; gives false when there is none. */
   abandon(reason: SqlFailure): boolean {
     return this.#instance.database.gate.abandon(this, reason);
@@ -95,7 +104,7 @@
 
   /** Runs messages; the gate must be held, and is let go when the transaction has ended. */
   execute(messages: Buffer, hidden: Hidden = {}): Answers {
-    if (!this.held) throw LEFT;
+    if (this.#closed || !this.held) throw LEFT;
     const { database } = this.#instance;
     const answers = filterAnswers(database.engine.execute(messages), hidden);
     this.#wrote ||= answers.wrote;
--- a/standins/instance/session.ts
+++ b/standins/instance/session.ts
@@ -14,7 +14,7 @@
   type SessionContext,
   toFailure,
 } from "./session_context.ts";
-import type { SessionSettings } from "./session_settings.ts";
+import { NO_SETTINGS, type SessionSettings } from "./session_settings.ts";
 import { runSimpleQuery } from "./simple_query.ts";
 import { StatementNames } from "./statement_names.ts";
 import {
@@ -69,7 +69,7 @@
     try {
       for await (const message of readMessages(channel.socket)) {
         clearTimeout(this.#idleTimer);
-        if (message.type === "X") break;
+        if (message.type === "X" || channel.ended) break;
         await this.#serve(message);
         this.#watchIdleTransaction();
       }
@@ -84,8 +84,7 @@
 
   terminate(failure: SqlFailure): void {
     const { access, channel } = this.#context;
-    access.abandon(failure);
-    access.rollback();
+    access.close(failure);
     channel.end(failure);
   }
 
@@ -138,12 +137,13 @@
   }
 
   async #leave(): Promise<void> {
-    const { access, names } = this.#context;
+    const { access, instance, names } = this.#context;
     clearTimeout(this.#idleTimer);
-    access.rollback();
+    access.close(CANCELLED);
     const closes = names.closeAll();
     if (closes.length === 0) return;
-    await access.enter();
-    access.execute(Buffer.concat([closes, createMessage("S")]));
+    const cleanup = new EngineAccess(instance, NO_SETTINGS);
+    await cleanup.enter();
+    cleanup.execute(Buffer.concat([closes, createMessage("S")]));
   }
 }
