--- a/standins/stack/launcher.ts
+++ b/standins/stack/launcher.ts
@@ -3,6 +3,9 @@
  *
  * @module
  */
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { type DaemonProcess, startDaemon } from "./daemon_process.ts";
 import { ENVIRONMENT, examplePath } from "./example.ts";
 import type { StackOptions } from "./options.ts";
@@ -32,6 +35,7 @@
   readonly #options: StackOptions;
   readonly #routes: Routes;
   readonly #peerKey: string;
+  readonly #stateFolder = createStateFolder();
 
   constructor(
     plan: StackPlan,
@@ -80,6 +84,8 @@
       ...["--receive-lag", String(receiveLagMs)],
       ...["--apply-lag", String(applyLagMs)],
       ...["--init-sql", examplePath(`${plan.database}.sql`)],
+      // A member that forgot its fence could confirm writes of a replaced primary.
+      ...["--state-file", join(this.#stateFolder, plan.name)],
       ...this.#roleFlags(source),
     ];
     return startDaemon(plan.name, "standins/instance/main.js", args);
@@ -120,6 +126,13 @@
   }
 }
 
+/** A folder that goes with this process. */
+function createStateFolder(): string {
+  const folder = mkdtempSync(join(tmpdir(), "marjoramshed-stack-"));
+  process.once("exit", () => rmSync(folder, { recursive: true, force: true }));
+  return folder;
+}
+
 function listenFlags(host: HostPlan): readonly string[] {
   return ["--address", host.address, "--port", String(host.port)];
 }
