--- /dev/null
+++ b/test/read_your_writes_test.ts
@@ -0,0 +1,223 @@
+/**
+ * Every session reads its own writes, also after it has moved, across a change
+ * of primary, and with replicas far behind.
+ *
+ * @module
+ */
+import { after, afterEach, before, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { expect } from "earl";
+import type pg from "pg";
+import { createDeployment, type Deployment } from "./support/deployment.ts";
+import { eventually } from "./support/eventually.ts";
+import { book } from "./support/outcome.ts";
+
+const LAG_MS = 2_000;
+/** Longer than a named session's position counts as known. */
+const IDLE_MS = 50;
+
+describe("reading one's own writes", () => {
+  let deployment: Deployment;
+  let written = 0;
+
+  before(async () => {
+    deployment = await createDeployment();
+  });
+  afterEach(async () => {
+    for (const name of deployment.instances) {
+      if (!deployment.stack.process(name).running) continue;
+      deployment.stack.process(name).resume();
+      await deployment.lag(name, 0, 0);
+    }
+    await deployment.heal();
+  });
+  after(async () => {
+    await deployment?.stack.stop();
+  });
+
+  /** Books until it is acknowledged, each attempt under another text. */
+  async function write(client: pg.Client): Promise<string> {
+    let text = "";
+    await eventually(async () => {
+      written += 1;
+      text = `own-${written}`;
+      return (await book(client, text)).told === "acknowledged";
+    }, "a write is acknowledged");
+    return text;
+  }
+
+  /** Whether the text is seen; a refused read is no violation and is repeated. */
+  async function sees(
+    client: pg.Client,
+    text: string,
+    comment = "",
+  ): Promise<boolean> {
+    let seen = false;
+    await eventually(async () => {
+      const result = await client.query(
+        `${comment}SELECT booking FROM bookings WHERE booking = $1`,
+        [text],
+      ).catch(() => undefined);
+      seen = result?.rowCount === 1;
+      return result !== undefined;
+    }, "a read is answered");
+    return seen;
+  }
+
+  async function token(client: pg.Client): Promise<string> {
+    const shown = await client.query("SHOW marjoramshed.position");
+    return shown.rows[0]["marjoramshed.position"];
+  }
+
+  /** Writes through one proxy and reads through each other one, without and with the token. */
+  async function expectSeenEverywhere(client: pg.Client): Promise<void> {
+    const text = await write(client);
+    const position = await token(client);
+    for (const proxy of deployment.proxies) {
+      if (!deployment.stack.process(proxy).running) continue;
+      for (const options of ["", `-c marjoramshed.position=${position}`]) {
+        const moved = await deployment.connect(proxy, { options });
+        expect([proxy, options, await sees(moved, text)])
+          .toEqual([proxy, options, true]);
+        await moved.end();
+      }
+    }
+  }
+
+  it("holds with a replica frozen and the other lagging", async () => {
+    const client = await deployment.connect(deployment.proxies[0]!);
+    await write(client);
+    const [frozen, lagging] = await deployment.replicas();
+    await deployment.lag(lagging!, 0, LAG_MS);
+    deployment.stack.process(frozen!).freeze();
+    for (let round = 0; round < 3; round += 1) {
+      await expectSeenEverywhere(client);
+      expect(await sees(client, await write(client))).toEqual(true);
+    }
+    deployment.stack.process(frozen!).resume();
+    await expectSeenEverywhere(client);
+    await client.end();
+  });
+
+  it("holds right after the old proxy was killed", async () => {
+    const proxy = deployment.proxies[1]!;
+    for (const name of await deployment.replicas()) {
+      await deployment.lag(name, 0, LAG_MS);
+    }
+    const client = await deployment.connect(proxy);
+    const text = await write(client);
+    const position = await token(client);
+    await deployment.stack.process(proxy).kill();
+    for (const options of ["", `-c marjoramshed.position=${position}`]) {
+      const moved = await deployment.connect(deployment.proxies[2]!, {
+        options,
+      });
+      expect(await sees(moved, text)).toEqual(true);
+      await moved.end();
+    }
+  });
+
+  it("holds across a killed primary", async () => {
+    const clients = await Promise.all(
+      deployment.proxies.map((proxy) => deployment.connect(proxy)),
+    );
+    const text = await write(clients[0]!);
+    const position = await token(clients[0]!);
+    const primary = await deployment.primary();
+    await deployment.stack.killInstance(primary);
+    for (const client of clients) {
+      expect(await sees(client, text)).toEqual(true);
+    }
+    const moved = await deployment.connect(deployment.proxies[3]!, {
+      options: `-c marjoramshed.position=${position}`,
+    });
+    expect(await sees(moved, text)).toEqual(true);
+    await expectSeenEverywhere(clients[0]!);
+    for (const client of [moved, ...clients]) await client.end();
+  });
+
+  it("holds across an isolated primary, for readers left beside it", async () => {
+    const old = await deployment.primary();
+    const zone = deployment.zoneOf(old);
+    const inside = deployment.proxies.find((one) =>
+      deployment.zoneOf(one) === zone
+    )!;
+    const outside = deployment.proxies.find((one) =>
+      deployment.zoneOf(one) !== zone
+    )!;
+    const left = await deployment.connect(inside, { name: "tablet" });
+    const client = await deployment.connect(outside, { name: "tablet" });
+    expect(await sees(left, await write(left))).toEqual(true);
+    await deployment.cutZone(zone);
+    await deployment.replaced(old);
+    const text = await write(client);
+    const stale = await left.query(
+      "SELECT booking FROM bookings WHERE booking = $1",
+      [text],
+    ).then((result) => result.rowCount === 0, () => false);
+    expect(stale).toEqual(false);
+    await deployment.stack.setNetworkFaults([]);
+    expect(await sees(left, text)).toEqual(true);
+    await left.end();
+    await client.end();
+  });
+
+  describe("on a named connection left open on the old proxy", () => {
+    async function connectPair(): Promise<readonly [pg.Client, pg.Client]> {
+      const name = `tablet-${written}`;
+      const [first, second] = deployment.proxies;
+      return [
+        await deployment.connect(first!, { name }),
+        await deployment.connect(second!, { name }),
+      ];
+    }
+
+    it("holds when it is used again later", async () => {
+      for (const name of await deployment.replicas()) {
+        await deployment.lag(name, 0, LAG_MS);
+      }
+      const [old, moved] = await connectPair();
+      for (let round = 0; round < 5; round += 1) {
+        await sees(old, "nothing");
+        await delay(IDLE_MS);
+        const text = await write(moved);
+        expect(await sees(old, text)).toEqual(true);
+      }
+      await old.end();
+      await moved.end();
+    });
+
+    it("holds with a token that is older than the connection's own write", async () => {
+      const [old, moved] = await connectPair();
+      await write(moved);
+      const position = await token(moved);
+      for (const name of await deployment.replicas()) {
+        await deployment.lag(name, 0, LAG_MS);
+      }
+      const text = await write(old);
+      await delay(IDLE_MS);
+      const comment = `/* marjoramshed position=${position} */ `;
+      expect(await sees(old, text, comment)).toEqual(true);
+      await old.end();
+      await moved.end();
+    });
+  });
+
+  it("holds with a token that no history contains", async () => {
+    const client = await deployment.connect(deployment.proxies[0]!);
+    const text = await write(client);
+    for (const name of await deployment.replicas()) {
+      await deployment.lag(name, 0, LAG_MS);
+    }
+    for (const position of ["0/99999999999", "1/99999999999", "999/1"]) {
+      const moved = await deployment.connect(deployment.proxies[1]!, {
+        options: `-c marjoramshed.position=${position}`,
+      });
+      expect([position, await sees(moved, text)]).toEqual([position, true]);
+      const own = await write(moved);
+      expect([position, await sees(moved, own)]).toEqual([position, true]);
+      await moved.end();
+    }
+    await client.end();
+  });
+});
