--- /dev/null
+++ b/test/isolation_test.ts
@@ -0,0 +1,235 @@
+/**
+ * Statements of one transaction never mix with those of another, and nothing
+ * of one caller's session reaches the next on the same connection.
+ *
+ * @module
+ */
+import { after, afterEach, before, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { expect } from "earl";
+import pg from "pg";
+import { failureOf } from "./support/callers.ts";
+import { createDeployment, type Deployment } from "./support/deployment.ts";
+import { eventually } from "./support/eventually.ts";
+
+const ENTRY = "entry-zagreb-1";
+const OTHER_ENTRY = "entry-zagreb-2";
+const CALLERS = 60;
+const INSERT =
+  "INSERT INTO bookings (booking, parent, shop, wheel) VALUES ($1, $2, 's', 'w')";
+/** Pairs of which one half is missing, or stands twice. */
+const TORN =
+  "SELECT booking FROM bookings WHERE parent IN ('left', 'right') GROUP BY booking HAVING count(*) <> 2 OR count(DISTINCT parent) <> 2";
+
+describe("isolation of callers", () => {
+  let deployment: Deployment;
+
+  before(async () => {
+    deployment = await createDeployment({ proxies: 2 });
+  });
+  afterEach(async () => {
+    await deployment.heal();
+  });
+  after(async () => {
+    await deployment?.stack.stop();
+  });
+
+  async function rows(query: string): Promise<readonly string[]> {
+    return await deployment.texts(await deployment.primary(), query);
+  }
+
+  async function connectMany(
+    count: number,
+    proxy = ENTRY,
+  ): Promise<readonly pg.Client[]> {
+    return await Promise.all(
+      Array.from({ length: count }, () => deployment.connect(proxy)),
+    );
+  }
+
+  async function bookPair(client: pg.Client, name: string): Promise<void> {
+    await begin(client);
+    await client.query(INSERT, [name, "left"]);
+    await client.query("SAVEPOINT half");
+    await client.query(INSERT, [name, "undone"]);
+    await client.query("ROLLBACK TO SAVEPOINT half");
+    await client.query(INSERT, [name, "right"]);
+    await client.query("COMMIT");
+  }
+
+  it("holds for 60 callers with savepoints over few connections", async () => {
+    const clients = await connectMany(CALLERS);
+    await Promise.all(
+      clients.map((client, n) => bookPair(client, `many-${n}`)),
+    );
+    const whole = await rows(
+      "SELECT booking FROM bookings WHERE booking LIKE 'many-%' GROUP BY booking",
+    );
+    expect(whole.length).toEqual(CALLERS);
+    expect(await rows(TORN)).toEqual([]);
+    expect(await rows("SELECT booking FROM bookings WHERE parent = 'undone'"))
+      .toEqual([]);
+    await Promise.all(clients.map((client) => client.end()));
+  });
+
+  it("holds when a proxy is killed in the middle of transactions", async () => {
+    const clients = await connectMany(CALLERS / 2, OTHER_ENTRY);
+    let committed = 0;
+    const work = clients.map(async (client, n) => {
+      for (let round = 0;; round += 1) {
+        await bookPair(client, `killed-${n}-${round}`);
+        committed += 1;
+      }
+    });
+    const ended = Promise.allSettled(work);
+    while (committed < CALLERS) await delay(10);
+    await deployment.stack.process(OTHER_ENTRY).kill();
+    await ended;
+    await deployment.heal();
+    expect(await rows(TORN)).toEqual([]);
+    expect(
+      (await rows(
+        "SELECT DISTINCT booking FROM bookings WHERE booking LIKE 'killed-%'",
+      )).length >= committed,
+    ).toEqual(true);
+  });
+
+  it("holds when callers drop in the middle of transactions", async () => {
+    for (let round = 0; round < 10; round += 1) {
+      const clients = await connectMany(6);
+      const work = clients.map(async (client, n) => {
+        await client.query("BEGIN");
+        await client.query(INSERT, [`dropped-${round}-${n}`, "left"]);
+        await client.query(INSERT, [`dropped-${round}-${n}`, "right"]);
+      });
+      const stayer = bookPair(
+        await deployment.connect(ENTRY),
+        `stayed-${round}`,
+      );
+      await delay(10 * round);
+      for (const client of clients) streamOf(client).destroy();
+      await Promise.allSettled(work);
+      await stayer;
+    }
+    expect(await rows(TORN)).toEqual([]);
+    expect(
+      await rows("SELECT booking FROM bookings WHERE booking LIKE 'dropped-%'"),
+    ).toEqual([]);
+  });
+
+  describe("of settings", () => {
+    const makers: readonly (readonly string[])[] = [
+      ["SET search_path = 'pg_catalog'"],
+      ["BEGIN", "SET LOCAL search_path = 'pg_catalog'", "SELECT 1", "COMMIT"],
+      ["BEGIN", "SET search_path = 'pg_catalog'", "ROLLBACK"],
+      ["BEGIN", "SET search_path = 'pg_catalog'", "COMMIT"],
+      ["SELECT set_config('search_path', 'pg_catalog', false)"],
+      ["SET search_path = 'pg_catalog'; SELECT 1"],
+      [
+        "BEGIN",
+        "SAVEPOINT a",
+        "SET search_path = 'pg_catalog'",
+        "ROLLBACK TO a",
+        "COMMIT",
+      ],
+      ["BEGIN READ ONLY", "SET search_path = 'pg_catalog'", "COMMIT"],
+      ["DO $$ BEGIN PERFORM set_config('search_path', 'pg_catalog', false); END $$"],
+    ];
+    for (const texts of makers) {
+      it(`holds after ${texts.join("; ")}`, async () => {
+        const makers = await connectMany(12);
+        await Promise.all(makers.map(async (client) => {
+          for (const text of texts) await client.query(text);
+        }));
+        const others = await connectMany(24);
+        const shown = await Promise.all(others.map(async (client) => {
+          const path = await client.query("SHOW search_path");
+          const write = await client.query("DELETE FROM bookings WHERE false");
+          const inside = await showInTransaction(client);
+          return [path.rows[0].search_path, inside, write.rowCount];
+        }));
+        for (const found of shown) {
+          expect(found).toEqual(["public", "public", 0]);
+        }
+        await Promise.all([...makers, ...others].map((one) => one.end()));
+      });
+    }
+
+    it("keeps a committed SET for its own caller", async () => {
+      const [client] = await connectMany(1);
+      for (
+        const text of ["BEGIN", "SET search_path = 'pg_catalog'", "COMMIT"]
+      ) {
+        await client!.query(text);
+      }
+      const shown = await client!.query("SHOW search_path");
+      expect(shown.rows[0].search_path).toEqual("pg_catalog");
+      await client!.end();
+    });
+  });
+
+  it("holds for prepared statements of one name and different texts", async () => {
+    const clients = await connectMany(24);
+    for (let round = 0; round < 5; round += 1) {
+      const found = await Promise.all(clients.map((client, n) =>
+        client.query({
+          name: "find",
+          text: `SELECT ${n} AS caller, $1::int AS given`,
+          values: [round],
+        })
+      ));
+      expect(found.map((result) => result.rows[0])).toEqual(
+        clients.map((_, n) => ({ caller: n, given: round })),
+      );
+    }
+    await Promise.all(clients.map((client) => client.end()));
+  });
+
+  it("holds for temporary tables, advisory locks, PREPARE and LISTEN", async () => {
+    const clients = await connectMany(4);
+    for (const client of clients) {
+      for (
+        const text of [
+          "CREATE TEMP TABLE scratch (n int)",
+          "SELECT pg_advisory_lock(7)",
+          "PREPARE leaked AS SELECT 1",
+          "LISTEN leaked",
+        ]
+      ) {
+        await client.query(text).catch(() => {});
+      }
+    }
+    await Promise.all(clients.map((client) => client.end()));
+    for (const client of await connectMany(24)) {
+      expect((await failureOf(client.query("SELECT * FROM scratch"))).code)
+        .toEqual("42P01");
+      const prepared = await failureOf(client.query("EXECUTE leaked"));
+      expect(["26000", "0A000"].includes(prepared.code ?? "")).toEqual(true);
+      await client.end();
+    }
+  });
+});
+
+/** Begins a transaction; the proxy sheds load at this many callers. */
+async function begin(client: pg.Client): Promise<void> {
+  await eventually(
+    () =>
+      client.query("BEGIN").then(() => true, (error) => {
+        if (error.code !== "53300") throw error;
+        return false;
+      }),
+    "a transaction begins",
+  );
+}
+
+async function showInTransaction(client: pg.Client): Promise<string> {
+  await client.query("BEGIN");
+  const shown = await client.query("SHOW search_path");
+  await client.query("COMMIT");
+  return shown.rows[0].search_path;
+}
+
+function streamOf(client: pg.Client): { destroy(): void } {
+  return (client as unknown as { connection: { stream: { destroy(): void } } })
+    .connection.stream;
+}
