--- /dev/null
+++ b/test/not_run_test.ts
@@ -0,0 +1,220 @@
+/**
+ * A refusal that says "not run" is true: each way to get one on a write is
+ * brought about, and all instances are searched for the row afterwards.
+ *
+ * @module
+ */
+import { after, afterEach, before, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { expect } from "earl";
+import type pg from "pg";
+import { ResultCodes } from "../src/kernel/result_codes.ts";
+import { failureOf } from "./support/callers.ts";
+import { createDeployment, type Deployment } from "./support/deployment.ts";
+import { eventually } from "./support/eventually.ts";
+import {
+  book,
+  compareRecords,
+  NONE,
+  Writer,
+  type WriteRecord,
+} from "./support/outcome.ts";
+
+const ENTRY = "entry-zagreb-1";
+const OTHER_ENTRY = "entry-split-1";
+const BOOKINGS = "SELECT booking FROM bookings";
+const SHORT_QUEUE = "{ length: 2, deadline: 1s }";
+
+describe("not run", () => {
+  let deployment: Deployment;
+  let document = "";
+
+  before(async () => {
+    deployment = await createDeployment({ proxies: 3 });
+    document = deployment.stack.document;
+  });
+  afterEach(async () => {
+    for (const name of deployment.instances) {
+      if (deployment.stack.process(name).running) {
+        deployment.stack.process(name).resume();
+        await deployment.lag(name, 0, 0);
+      }
+    }
+    await deployment.heal();
+  });
+  after(async () => {
+    await deployment?.stack.stop();
+  });
+
+  /** Compares with what each instance holds once the group is whole again. */
+  async function expectTruth(records: readonly WriteRecord[]): Promise<void> {
+    await deployment.heal();
+    for (const name of deployment.instances) {
+      const rows = await deployment.texts(name, BOOKINGS);
+      expect(compareRecords(records, rows)).toEqual(NONE);
+    }
+  }
+
+  function codes(records: readonly WriteRecord[]): readonly number[] {
+    const found = records.map((one) => one.code ?? 0).filter((one) => one > 0);
+    return [...new Set(found)];
+  }
+
+  async function connectMany(
+    count: number,
+    proxy = ENTRY,
+  ): Promise<readonly pg.Client[]> {
+    return await Promise.all(
+      Array.from({ length: count }, () => deployment.connect(proxy)),
+    );
+  }
+
+  it("is true with the queue full and at the queue's deadline", async () => {
+    const clients = await connectMany(40);
+    await deployment.stack.promote(
+      document.replace(
+        /^( +)(- database: booking)$/gm,
+        `$1$2\n$1  queue: ${SHORT_QUEUE}`,
+      ),
+    );
+    const blocker = await deployment.connect(OTHER_ENTRY);
+    const records: WriteRecord[] = [];
+    await eventually(async () => {
+      await blocker.query("BEGIN");
+      await blocker.query("DELETE FROM bookings WHERE false");
+      const round = records.length;
+      const pending = clients.map((client, n) =>
+        book(client, `queue-${round}-${n}`)
+      );
+      await delay(1_500);
+      await blocker.query("ROLLBACK");
+      records.push(...await Promise.all(pending));
+      const seen = codes(records);
+      return seen.includes(ResultCodes.QUEUE_FULL.number) &&
+        seen.includes(ResultCodes.QUEUE_DEADLINE.number);
+    }, "both codes are seen");
+    await deployment.stack.promote(document);
+    for (const client of [...clients, blocker]) await client.end();
+    await expectTruth(records);
+  });
+
+  it("is true while the primary is absent", async () => {
+    const clients = await connectMany(4);
+    const records = await Promise.all(
+      clients.map((client, n) => book(client, `before-${n}`)),
+    );
+    const frozen = [...await deployment.replicas(), await deployment.primary()];
+    for (const name of frozen) deployment.stack.process(name).freeze();
+    records.push(
+      ...await Promise.all(
+        clients.map((client, n) => book(client, `at-once-${n}`)),
+      ),
+    );
+    await eventually(async () => {
+      const round = records.length;
+      records.push(
+        ...await Promise.all(
+          clients.map((client, n) => book(client, `absent-${round}-${n}`)),
+        ),
+      );
+      return codes(records).includes(ResultCodes.PRIMARY_ABSENT.number);
+    }, "code 501 is seen");
+    for (const name of frozen) deployment.stack.process(name).resume();
+    for (const client of clients) await client.end();
+    await expectTruth(records);
+  });
+
+  it("is true when a majority does not receive the log", async () => {
+    const [client] = await connectMany(1);
+    const records: WriteRecord[] = [];
+    for (const name of await deployment.replicas()) {
+      await deployment.lag(name, 8_000, 0);
+    }
+    await eventually(async () => {
+      records.push(await book(client!, `lag-${records.length}`));
+      return codes(records).includes(ResultCodes.RECEIVE_LAG.number);
+    }, "code 505 is seen");
+    expect(codes(records).includes(ResultCodes.ACKNOWLEDGE_DEADLINE.number))
+      .toEqual(true);
+    for (const name of await deployment.replicas()) {
+      await deployment.lag(name, 0, 0);
+    }
+    await client!.end();
+    await expectTruth(records);
+  });
+
+  it("is true for writes that the caller's own transaction forbids", async () => {
+    const [client] = await connectMany(1);
+    await client!.query("BEGIN");
+    await client!.query("SET TRANSACTION READ ONLY");
+    const error = await failureOf(
+      client!.query(
+        "INSERT INTO bookings (booking, parent, shop, wheel) VALUES ('read-only', 'p', 's', 'w')",
+      ),
+    );
+    expect(error.code).toEqual("25006");
+    await client!.query("COMMIT");
+    await client!.end();
+    await expectTruth([{ text: "read-only", told: "not run", at: 0 }]);
+  });
+
+  it("is true for a transaction that lost its connection", async () => {
+    const [client] = await connectMany(1);
+    const primary = await deployment.primary();
+    await client!.query("BEGIN");
+    expect((await book(client!, "lost-0")).told).toEqual("acknowledged");
+    await deployment.stack.killInstance(primary);
+    const record = await book(client!, "lost-1");
+    expect([record.told, record.code])
+      .toEqual(["not run", ResultCodes.TRANSACTION_LOST.number]);
+    expect((await client!.query("COMMIT")).command).toEqual("ROLLBACK");
+    await expectTruth([{ ...record, text: "lost-0" }, record]);
+    expect((await client!.query("SELECT 1 AS one")).rows).toEqual([{ one: 1 }]);
+    await client!.end();
+  });
+
+  it("is true at a stopping proxy", async () => {
+    const writers = Array.from(
+      { length: 40 },
+      (_, n) => new Writer(`stopping-${n}`, () => deployment.connect(ENTRY)),
+    );
+    await eventually(
+      () => writers.every((one) => one.count("acknowledged") > 2),
+      "all write",
+    );
+    for (let round = 0; round < 3; round += 1) {
+      await deployment.stack.stopProxy(ENTRY);
+      await deployment.stack.startProxy(ENTRY);
+      await delay(500);
+    }
+    await Promise.all(writers.map((one) => one.stop()));
+    const records = writers.flatMap((one) => one.records);
+    expect(codes(records).includes(ResultCodes.SHUTTING_DOWN.number))
+      .toEqual(true);
+    await expectTruth(records);
+  });
+
+  it("is true while primaries are killed, frozen and cut off under load", async () => {
+    const writers = deployment.proxies.flatMap((proxy) =>
+      [0, 1, 2, 3].map((n) =>
+        new Writer(`${proxy}-${n}`, () => deployment.connect(proxy))
+      )
+    );
+    const killed = await deployment.primary();
+    await delay(300);
+    await deployment.stack.killInstance(killed);
+    await deployment.replaced(killed);
+    await deployment.heal();
+    const frozen = await deployment.primary();
+    deployment.stack.process(frozen).freeze();
+    await deployment.replaced(frozen);
+    deployment.stack.process(frozen).resume();
+    await deployment.heal();
+    const cut = await deployment.primary();
+    await deployment.cutZone(deployment.zoneOf(cut));
+    await deployment.replaced(cut);
+    await deployment.heal();
+    await Promise.all(writers.map((one) => one.stop()));
+    await expectTruth(writers.flatMap((one) => one.records));
+  });
+});
