--- /dev/null
+++ b/test/whole_answer_test.ts
@@ -0,0 +1,239 @@
+/**
+ * A caller gets the whole answer to its own request: late answers, an instance
+ * that ends in the middle, a slow caller, pipelined requests, late cancels.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { connect } from "node:net";
+import { after, afterEach, before, describe, it } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { expect } from "earl";
+import pg from "pg";
+import { callerParameters, failureOf } from "./support/callers.ts";
+import {
+  createDeployment,
+  DATABASE,
+  type Deployment,
+} from "./support/deployment.ts";
+import { book, compareRecords, NONE } from "./support/outcome.ts";
+
+const ENTRY = "entry-zagreb-1";
+const LARGE_ROWS = 100_000;
+const ROW_CHARS = 1_000;
+const LARGE =
+  `SELECT g, repeat('x', ${ROW_CHARS}) AS x FROM generate_series(1, ${LARGE_ROWS}) AS g`;
+/** What a write that is canceled may end with: canceled, unknown, or load was shed. */
+const OWN_CODES: ReadonlySet<string> = new Set(["57014", "08007", "53300"]);
+const MAX_GROWTH_BYTES = 128 * 1024 * 1024;
+
+describe("whole answers", () => {
+  let deployment: Deployment;
+
+  before(async () => {
+    deployment = await createDeployment({ proxies: 2 });
+  });
+  after(async () => {
+    await deployment?.stack.stop();
+  });
+
+  afterEach(async () => {
+    await deployment.heal();
+  });
+
+  it("are the caller's own after others gave up waiting for theirs", async () => {
+    const { host, port, ...rest } = callerParameters({
+      stack: deployment.places,
+      database: DATABASE,
+    });
+    const impatient = Array.from(
+      { length: 20 },
+      () => new pg.Client({ host, port, ...rest, query_timeout: 200 }),
+    );
+    for (const client of impatient) {
+      client.on("error", () => {});
+      await client.connect();
+    }
+    const late = impatient.map((client, n) =>
+      failureOf(client.query(`SELECT 'late ${n}', pg_sleep(0.4)`))
+    );
+    await Promise.all(late);
+    for (const client of impatient) {
+      (client as unknown as { connection: { stream: { destroy(): void } } })
+        .connection.stream.destroy();
+    }
+    const patient = await Promise.all(
+      Array.from({ length: 20 }, () => deployment.connect(ENTRY)),
+    );
+    for (let round = 0; round < 5; round += 1) {
+      const answers = await Promise.all(
+        patient.map((client, n) =>
+          client.query("SELECT $1::int AS n", [round * 100 + n])
+        ),
+      );
+      expect(answers.map((answer) => answer.rows)).toEqual(
+        patient.map((_, n) => [{ n: round * 100 + n }]),
+      );
+    }
+    await Promise.all(patient.map((client) => client.end()));
+  });
+
+  it("are not mixed up when a cancel request comes late", async () => {
+    // The way to the instances is long, so that a cancel meets the time between commit and acknowledgement.
+    await deployment.stack.setNetworkFaults([
+      { kind: "latency", between: [{ host: ENTRY }, {}], ms: 20 },
+    ]);
+    const canceler = await deployment.connect(ENTRY);
+    const others = await Promise.all(
+      Array.from({ length: 30 }, () => deployment.connect(ENTRY)),
+    );
+    let stopped = false;
+    const failures: string[] = [];
+    const work = others.map(async (client, n) => {
+      for (let round = 0; !stopped; round += 1) {
+        await client.query(
+          "INSERT INTO bookings (booking, parent, shop, wheel) SELECT $1, 'p', 's', 'w' FROM pg_sleep(0.1)",
+          [`other-${n}-${round}`],
+        ).catch((error) => failures.push(`${error.code} ${error.message}`));
+      }
+    });
+    const own: unknown[] = [];
+    for (let round = 0; round < 15; round += 1) {
+      const cancels = setInterval(() => sendCancel(deployment, canceler), 5);
+      const write = canceler.query(
+        "INSERT INTO bookings (booking, parent, shop, wheel) VALUES ($1, 'p', 's', 'w')",
+        [`canceled-${round}`],
+      ).catch((error) => own.push(error.code));
+      await write;
+      clearInterval(cancels);
+    }
+    stopped = true;
+    await Promise.all(work);
+    // Load may be shed, and a busy primary replaced; a cancel request of another may not be felt.
+    const felt = failures.filter((text) => text.startsWith("57014"));
+    expect(felt).toEqual([]);
+    expect(own.filter((code) => !OWN_CODES.has(String(code))))
+      .toEqual([]);
+    await Promise.all([canceler, ...others].map((client) => client.end()));
+  });
+
+  it("come in order when requests are pipelined while the primary changes", async () => {
+    const primary = await deployment.primary();
+    const clients = await Promise.all(
+      Array.from(
+        { length: 4 },
+        (_, n) => deployment.connect(deployment.proxies[n % 2]!),
+      ),
+    );
+    const pending = clients.map((client, c) =>
+      Array.from({ length: 60 }, (_, n) => ({
+        n,
+        answer: n % 2 === 0
+          ? client.query("SELECT $1::int AS n", [n]).then((result) =>
+            result.rows[0].n
+          )
+          : book(client, `pipelined-${c}-${n}`),
+      }))
+    );
+    await deployment.stack.killInstance(primary);
+    const records = [];
+    for (const { n, answer } of pending.flat()) {
+      const given = await answer.catch(() => undefined);
+      if (typeof given === "object") records.push(given);
+      else if (given !== undefined) expect(given).toEqual(n);
+    }
+    const next = await deployment.replaced(primary);
+    const rows = await deployment.texts(next, "SELECT booking FROM bookings");
+    expect(compareRecords(records, rows)).toEqual(NONE);
+    expect(records.length).toEqual(120);
+    for (const client of clients) client.end().catch(() => {});
+  });
+
+  it("are never short when the instance ends in the middle", async () => {
+    const client = await deployment.connect(ENTRY);
+    const failed: pg.DatabaseError[] = [];
+    const socket = streamOf(client);
+    const read = client.query(LARGE).catch((error) => failed.push(error));
+    await new Promise((resolve) => socket.once("data", resolve));
+    socket.pause();
+    await delay(200);
+    for (const name of await deployment.replicas()) {
+      await deployment.stack.killInstance(name);
+    }
+    socket.resume();
+    const result = await read;
+    if (typeof result === "object") {
+      expect(result.rowCount).toEqual(LARGE_ROWS);
+    } else {
+      expect(failed[0]!.code).toEqual("08006");
+    }
+    expect((await client.query("SHOW marjoramshed.session")).rows.length)
+      .toEqual(1);
+    await client.end();
+  });
+
+  it("of 100 MB reach a slow caller through bounded memory", async () => {
+    const client = await deployment.connect(ENTRY);
+    await client.query("SELECT 1");
+    const { pid } = deployment.stack.process(ENTRY).ready;
+    const before = residentBytes(pid);
+    const socket = streamOf(client);
+    let bytes = 0;
+    let most = 0;
+    socket.on("data", (chunk: Buffer) => bytes += chunk.length);
+    const pacer = setInterval(() => {
+      most = Math.max(most, residentBytes(pid));
+      socket.pause();
+      setTimeout(() => socket.resume(), 30);
+    }, 60);
+    let rows = 0;
+    let last = 0;
+    const query = new pg.Query(LARGE);
+    await new Promise<void>((resolve, reject) => {
+      query.on("row", (row) => {
+        rows += 1;
+        last = row.g;
+      });
+      query.on("end", () => resolve());
+      query.on("error", reject);
+      client.query(query);
+    });
+    clearInterval(pacer);
+    console.log(
+      `# ${bytes} bytes; resident before ${before}, at most ${most}`,
+    );
+    expect(rows).toEqual(LARGE_ROWS);
+    expect(last).toEqual(LARGE_ROWS);
+    expect(bytes > LARGE_ROWS * ROW_CHARS).toEqual(true);
+    expect(most - before < MAX_GROWTH_BYTES).toEqual(true);
+    await client.end();
+  });
+});
+
+interface CallerSocket {
+  pause(): void;
+  resume(): void;
+  on(event: "data", listener: (chunk: Buffer) => void): void;
+  once(event: "data", listener: (chunk: Buffer) => void): void;
+}
+
+function streamOf(client: pg.Client): CallerSocket {
+  return (client as unknown as { connection: { stream: CallerSocket } })
+    .connection.stream;
+}
+
+function sendCancel(deployment: Deployment, client: pg.Client): void {
+  const { host, port } = deployment.places.proxies[0]!;
+  const key = client as unknown as { processID: number; secretKey: number };
+  const packet = Buffer.alloc(16);
+  packet.writeInt32BE(16, 0);
+  packet.writeInt32BE(80877102, 4);
+  packet.writeInt32BE(key.processID, 8);
+  packet.writeInt32BE(key.secretKey, 12);
+  connect({ host, port }).on("error", () => {}).end(packet);
+}
+
+function residentBytes(pid: number): number {
+  const status = readFileSync(`/proc/${pid}/status`, "utf8");
+  return Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1]) * 1024;
+}
