A Flush after Bind or Execute is for reads only

Cause, found by reading: a batch that began with a Flush was judged by its first unit alone, so a write in a later unit was answered without a majority, and the answer of a write before a Flush was held until a Sync that its caller sends only after the answer.

--- a/src/plugins/callers/session.ts
+++ b/src/plugins/callers/session.ts
@@ -133,6 +133,16 @@
     return unit && endPreparingUnit(unit);
   }
 
+  /** The unit after one that ended with a Flush; undefined when it may not run on the same connection. */
+  async #nextOfBatch(): Promise<Unit | undefined> {
+    const unit = await this.#nextUnit();
+    if (!unit || unit.failure) return undefined;
+    const { classifier } = this.#context;
+    const plan = createPlan(unit, this.#state.statements, classifier);
+    const fits = plan.effect === "read" || plan.texts.length === 0;
+    return fits ? unit : undefined;
+  }
+
   async #handle(unit: Unit): Promise<void> {
     if (this.#skipping) return await this.#skip(unit);
     if (unit.failure) return await this.#refuse(unit, unit.failure);
@@ -144,6 +154,9 @@
       this.#context.classifier,
     );
     if (plan.copy) return await this.#refuse(unit, unsupportedCommand());
+    if (unit.end === "flush" && plan.effect !== "read") {
+      return await this.#refuse(unit, unsupportedFlush());
+    }
     if (this.#transactionLost) return await this.#handleLost(unit, plan);
     const local = answerLocally(plan, this.#state);
     if (local) return await this.#giveLocal(unit, local);
@@ -161,7 +174,7 @@
       output: this.#output,
       unit,
       plan,
-      next: () => this.#nextUnit(),
+      next: () => this.#nextOfBatch(),
       track: (connection) => this.#borrowed = connection,
       deadline: performance.now() + group.queue.deadline,
     };
@@ -298,6 +311,15 @@
   );
 }
 
+/** What a write has committed is acknowledged with its Sync, so it can't be answered at a Flush. */
+function unsupportedFlush(): Failure {
+  return createFailure(
+    ResultCodes.PROTOCOL_UNSUPPORTED,
+    "a Flush after Bind or Execute is supported for reads only",
+    { hint: "End the batch with a Sync." },
+  );
+}
+
 function requestForm(): Failure {
   return createFailure(
     ResultCodes.REQUEST_ID_INVALID,
--- a/test/callers_test.ts
+++ b/test/callers_test.ts
@@ -21,6 +21,37 @@
 const DATABASE = "booking";
 const APPLY_LAG_MS = 60;
 
+/** Runs a statement in two units: one that ends with a Flush, and once it is answered a Sync. */
+function runWithFlush(
+  client: pg.Client,
+  text: string,
+): Promise<{ readonly rows: number; readonly code: string | undefined }> {
+  return new Promise((resolve) => {
+    let rows = 0;
+    let code: string | undefined;
+    const query = {
+      submit(connection: pg.Connection) {
+        connection.parse({ name: "", text, types: [] }, true);
+        connection.bind({}, true);
+        connection.execute({}, true);
+        connection.flush();
+      },
+      handleRowDescription() {},
+      handleDataRow: () => rows += 1,
+      handleCommandComplete: (_: unknown, connection: pg.Connection) =>
+        connection.sync(),
+      handleError(error: pg.DatabaseError, connection: pg.Connection) {
+        code = error.code;
+        connection.sync();
+        // The library tells a failed query nothing more.
+        resolve({ rows, code });
+      },
+      handleReadyForQuery: () => resolve({ rows, code }),
+    };
+    client.query(query as unknown as pg.Submittable);
+  });
+}
+
 describe("callers", () => {
   let running: Stack;
   let stack: StackDescription;
@@ -164,6 +195,17 @@
       expect((await client.query("SELECT 1 AS one")).rowCount).toEqual(1);
     });
 
+    it("answers a read at a Flush and refuses a write there, with nothing run", async () => {
+      const read = await runWithFlush(client, "SELECT 7 AS seven");
+      expect(read).toEqual({ rows: 1, code: undefined });
+      const write = await runWithFlush(
+        client,
+        "INSERT INTO notes (text) VALUES ('flushed')",
+      );
+      expect(write).toEqual({ rows: 0, code: "0A000" });
+      expect(await countNotes("flushed")).toEqual(0);
+    });
+
     it("cancels a statement that waits", async () => {
       const blocker = await connectCaller({ stack, database: DATABASE });
       const waiting = await connectCaller({ stack, database: DATABASE });
