Callers: one way to open an exchange with the primary

The loan, its log line and its tracking for cancel requests stood three times; now they stand in primary_exchange.ts. Behaviour is the same: callers_test, session_drain_test and read_your_writes_test, 32 passed.

--- a/src/plugins/callers/ledger_run.ts
+++ b/src/plugins/callers/ledger_run.ts
@@ -24,7 +24,7 @@
 import { readBind } from "./statements.ts";
 import { StoredSink } from "./caller_output.ts";
 import { Exchange } from "./exchange.ts";
-import { lendPrimary } from "./primary_lender.ts";
+import { openPrimaryExchange } from "./primary_exchange.ts";
 import {
   ANSWERED,
   applySettings,
@@ -35,12 +35,7 @@
   type RunEnd,
   runInternal,
 } from "./run.ts";
-import {
-  acknowledge,
-  logWrite,
-  readPosition,
-  unknownOutcome,
-} from "./write_run.ts";
+import { acknowledge, readPosition, unknownOutcome } from "./write_run.ts";
 
 /** Longest answer that is kept in memory until its commit, in bytes. */
 const MAX_HELD_ANSWER_BYTES = 16 * 1024 * 1024;
@@ -78,17 +73,9 @@
 
 async function attemptRequest(run: Run, id: string): Promise<Attempt> {
   const { context, group, state } = run;
-  const lent = await lendPrimary(
-    context,
-    group,
-    group.writes.priority,
-    run.deadline,
-  );
-  if (lent.isErr()) return { kind: "failed", failure: lent.error };
-  const { connection, instance } = lent.value;
-  logWrite(run, instance);
-  run.track(connection);
-  const exchange = new Exchange(connection);
+  const opened = await openPrimaryExchange(run);
+  if (opened.isErr()) return { kind: "failed", failure: opened.error };
+  const { exchange, instance } = opened.value;
   const attempt = await applySettings(exchange, state)
     ? await runEntered(run, id, exchange, instance)
     : notRun(run);
--- /dev/null
+++ b/src/plugins/callers/primary_exchange.ts
@@ -0,0 +1,30 @@
+/**
+ * Opens an exchange with the confirmed primary for a unit.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { Failure } from "../../kernel/result_codes.ts";
+import { Exchange } from "./exchange.ts";
+import { lendPrimary } from "./primary_lender.ts";
+import { logWrite, type Run } from "./run.ts";
+
+/** An exchange and the instance that it goes to. */
+export interface PrimaryExchange {
+  readonly exchange: Exchange;
+  readonly instance: string;
+}
+
+/** Lends a connection to the primary until the unit's deadline and logs the choice. */
+export async function openPrimaryExchange(
+  run: Run,
+): Promise<Result<PrimaryExchange, Failure>> {
+  const { context, group } = run;
+  const { priority } = group.writes;
+  const lent = await lendPrimary(context, group, priority, run.deadline);
+  if (lent.isErr()) return err(lent.error);
+  const { connection, instance } = lent.value;
+  run.track(connection);
+  logWrite(run, instance);
+  return ok({ exchange: new Exchange(connection), instance });
+}
--- a/src/plugins/callers/run.ts
+++ b/src/plugins/callers/run.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { Events } from "../../kernel/events.ts";
 import type { Failure } from "../../kernel/result_codes.ts";
 import type { UpstreamConnection } from "../connections/connections.ts";
 import type { Group } from "../document/document.ts";
@@ -143,3 +144,12 @@
   settings.clear();
   for (const [name, text] of state.settings) settings.set(name, text);
 }
+
+/** Logs where a write or a transaction goes. */
+export function logWrite(run: Run, instance: string): void {
+  run.context.log.write(Events.WRITE_ROUTED, {
+    session: run.identity.id,
+    database: run.group.database,
+    instance,
+  });
+}
--- a/src/plugins/callers/transaction_request.ts
+++ b/src/plugins/callers/transaction_request.ts
@@ -14,7 +14,7 @@
 import { StoredSink } from "./caller_output.ts";
 import { Exchange, type InternalAnswer } from "./exchange.ts";
 import { requestDone } from "./ledger_run.ts";
-import { lendPrimary } from "./primary_lender.ts";
+import { openPrimaryExchange } from "./primary_exchange.ts";
 import {
   applySettings,
   POSITION_QUERY,
@@ -22,7 +22,7 @@
   type RunEnd,
   runInternal,
 } from "./run.ts";
-import { acknowledge, logWrite, readPosition } from "./write_run.ts";
+import { acknowledge, readPosition } from "./write_run.ts";
 
 /** Fingerprint of a transaction, whose statements are not known at its start. */
 const TRANSACTION_FINGERPRINT = "transaction";
@@ -30,18 +30,10 @@
 
 /** Begins the transaction and enters its request id. */
 export async function beginRequest(run: Run, id: string): Promise<RunEnd> {
-  const { context, group, state } = run;
-  const lent = await lendPrimary(
-    context,
-    group,
-    group.writes.priority,
-    run.deadline,
-  );
-  if (lent.isErr()) return { kind: "failed", failure: lent.error };
-  const { connection, instance } = lent.value;
-  run.track(connection);
-  logWrite(run, instance);
-  const exchange = new Exchange(connection);
+  const { state } = run;
+  const opened = await openPrimaryExchange(run);
+  if (opened.isErr()) return { kind: "failed", failure: opened.error };
+  const { exchange, instance } = opened.value;
   const sink = new StoredSink(MAX_BEGIN_ANSWER_BYTES);
   const begin = (): ReturnType<typeof relayBatch> =>
     relayBatch(exchange, state, {
--- a/src/plugins/callers/transaction_run.ts
+++ b/src/plugins/callers/transaction_run.ts
@@ -17,17 +17,13 @@
   createPositionMessage,
   type HeldConnection,
   isUpstreamStop,
+  logWrite,
   noteSessionState,
   POSITION_QUERY,
   type Run,
   type RunEnd,
 } from "./run.ts";
-import {
-  acknowledge,
-  logWrite,
-  readPosition,
-  unknownOutcome,
-} from "./write_run.ts";
+import { acknowledge, readPosition, unknownOutcome } from "./write_run.ts";
 
 /** Runs a unit on the held connection. */
 export async function runHeld(run: Run, held: HeldConnection): Promise<RunEnd> {
--- a/src/plugins/callers/write_run.ts
+++ b/src/plugins/callers/write_run.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
-import { Events } from "../../kernel/events.ts";
 import {
   createFailure,
   type Failure,
@@ -14,8 +13,8 @@
 import type { Position } from "../upstream/position.ts";
 import { relayBatch } from "./batch.ts";
 import { HeldSink } from "./caller_output.ts";
-import { Exchange, type UpstreamError } from "./exchange.ts";
-import { lendPrimary } from "./primary_lender.ts";
+import type { Exchange, UpstreamError } from "./exchange.ts";
+import { openPrimaryExchange } from "./primary_exchange.ts";
 import {
   ANSWERED,
   applySettings,
@@ -44,17 +43,9 @@
 
 async function attemptWrite(run: Run): Promise<Attempt> {
   const { context, group, plan, state } = run;
-  const lent = await lendPrimary(
-    context,
-    group,
-    group.writes.priority,
-    run.deadline,
-  );
-  if (lent.isErr()) return { kind: "failed", failure: lent.error };
-  const { connection, instance } = lent.value;
-  logWrite(run, instance);
-  run.track(connection);
-  const exchange = new Exchange(connection);
+  const opened = await openPrimaryExchange(run);
+  if (opened.isErr()) return { kind: "failed", failure: opened.error };
+  const { exchange, instance } = opened.value;
   const ready = await applySettings(exchange, state);
   if (!ready || exchange.lost) {
     exchange.finish(false);
@@ -169,12 +160,3 @@
     `no primary of ${run.group.database} took the statement before its deadline`,
   );
 }
-
-/** Logs where a write or a transaction goes. */
-export function logWrite(run: Run, instance: string): void {
-  run.context.log.write(Events.WRITE_ROUTED, {
-    session: run.identity.id,
-    database: run.group.database,
-    instance,
-  });
-}
