--- a/bench/failover.ts
+++ b/bench/failover.ts
@@ -63,6 +63,9 @@
   }
 }
 
+/** Log that a whole instance may still have to receive, in bytes. */
+const NEAR_BYTES = 10_000n;
+
 async function measure(
   stack: Stack,
   options: BenchmarkOptions,
@@ -129,16 +132,28 @@
   await sleep(CALM_MS);
   const ended = performance.now();
   await fault.end(stack, name);
-  await until(async () => {
-    const [status] = await stack.query(
-      name,
-      "SELECT * FROM marjoramshed_status()",
-    ).catch(() => []);
-    return status?.["role"] === "replica" && status["hears_source"] === true;
-  });
+  await until(() => isWhole(stack));
   return failoverGap(bookings(), begun, ended);
 }
 
+/** Whether every instance follows one primary and has received its log; a restarted one first copies it. */
+async function isWhole(stack: Stack): Promise<boolean> {
+  const text = "SELECT * FROM marjoramshed_status()";
+  const names = stack.plan.instances.map((instance) => instance.name);
+  const answers = await Promise.all(
+    names.map((name) => stack.query(name, text).catch(() => [])),
+  );
+  const statuses = answers.flat();
+  const primary = statuses.find((status) => status["role"] === "primary");
+  if (!primary || statuses.length < names.length) return false;
+  return statuses.every((status) =>
+    status["role"] !== "fenced" &&
+    status["last_term"] === primary["last_term"] &&
+    BigInt(String(primary["received"])) - BigInt(String(status["received"])) <=
+      NEAR_BYTES
+  );
+}
+
 async function until(condition: () => Promise<boolean>): Promise<void> {
   const deadline = performance.now() + SETTLE_TIMEOUT_MS;
   while (!await condition()) {
