--- a/bench/failover.ts
+++ b/bench/failover.ts
@@ -63,7 +63,7 @@
   }
 }
 
-/** Log that a whole instance may still have to receive, in bytes. */
+/** Log that a whole instance may still have to apply, in bytes. */
 const NEAR_BYTES = 10_000n;
 
 async function measure(
@@ -136,7 +136,7 @@
   return failoverGap(bookings(), begun, ended);
 }
 
-/** Whether every instance follows one primary and has received its log; a restarted one first copies it. */
+/** Whether every instance follows one primary and has applied its log; a restarted one first copies it, and can't be fenced before. */
 async function isWhole(stack: Stack): Promise<boolean> {
   const text = "SELECT * FROM marjoramshed_status()";
   const names = stack.plan.instances.map((instance) => instance.name);
@@ -149,7 +149,7 @@
   return statuses.every((status) =>
     status["role"] !== "fenced" &&
     status["last_term"] === primary["last_term"] &&
-    BigInt(String(primary["received"])) - BigInt(String(status["received"])) <=
+    BigInt(String(primary["received"])) - BigInt(String(status["applied"])) <=
       NEAR_BYTES
   );
 }
