Reads: an instance's latency is the time to the first part of the answer

Cause, found by reading the change again: the whole time of a read was reported, the caller's slow reading of a long answer included, so a slow caller could have a healthy replica left out as slow. The interface of health says time to first byte.

read_latency_test fails before (over 400 ms reported for an answer that begins at once and ends after 400 ms) and passes after.

--- a/src/plugins/callers/caller_output.ts
+++ b/src/plugins/callers/caller_output.ts
@@ -60,12 +60,19 @@
 export class DirectSink implements AnswerSink {
   readonly #output: CallerOutput;
   #parts: Buffer[] = [];
+  #begunAt: number | undefined;
 
   constructor(output: CallerOutput) {
     this.#output = output;
   }
 
+  /** Monotonic ms of the first message; undefined before it. */
+  get begunAt(): number | undefined {
+    return this.#begunAt;
+  }
+
   push(message: Message): void {
+    this.#begunAt ??= performance.now();
     appendPart(this.#parts, message.data);
   }
 
--- a/src/plugins/callers/read_run.ts
+++ b/src/plugins/callers/read_run.ts
@@ -91,6 +91,7 @@
     return { kind: "repeat", reason: "settings were not accepted" };
   }
   const begun = performance.now();
+  const sink = new DirectSink(output);
   const before = output.written;
   let kept: UpstreamError | undefined;
   const end = await relayBatch(exchange, run.state, {
@@ -102,7 +103,7 @@
       kept = error;
       return true;
     },
-  }, new DirectSink(output));
+  }, sink);
   const untouched = output.written === before;
   if (end.lost || kept) {
     exchange.finish(false);
@@ -112,7 +113,9 @@
     return { kind: "failed", failure: truncated(instance) };
   }
   const elapsed = performance.now() - begun;
-  context.health.reportLatency(group.database, instance, elapsed);
+  // A slow caller holds up the rest of an answer, which says nothing of the instance.
+  const latency = (sink.begunAt ?? begun + elapsed) - begun;
+  context.health.reportLatency(group.database, instance, latency);
   context.metrics.statement(target, "read", elapsed);
   if (end.status === "I") {
     if (!end.error) noteSessionState(run.plan, run.state, exchange);
