--- a/src/plugins/object_store/s3_objects.ts
+++ b/src/plugins/object_store/s3_objects.ts
@@ -3,14 +3,12 @@
  *
  * @module
  */
-import { Agent } from "node:http";
 import {
   GetObjectCommand,
   NoSuchKey,
   PutObjectCommand,
   S3Client,
 } from "@aws-sdk/client-s3";
-import { NodeHttpHandler } from "@smithy/node-http-handler";
 import { ResultAsync } from "neverthrow";
 import { type EventLog, Events } from "../../kernel/events.ts";
 import { describeError, OutageLog } from "../../kernel/outage_log.ts";
@@ -20,19 +18,16 @@
   ResultCodes,
 } from "../../kernel/result_codes.ts";
 import type { ObjectStore } from "./object_store.ts";
+import {
+  createClientConfiguration,
+  type PlatformAccess,
+} from "../../utils/platform_client.ts";
 
 const REQUEST_TIMEOUT_MS = 1_000;
 
 /** How to reach the object store. */
-export interface S3ObjectsOptions {
-  readonly url: string;
+export interface S3ObjectsOptions extends PlatformAccess {
   readonly bucket: string;
-  readonly accessKey: string;
-  readonly secret: string;
-  /** IP number to connect from; default lets the system choose. */
-  readonly address?: string;
-  /** Region that requests are signed for; default `local`. */
-  readonly region?: string;
   readonly log: EventLog;
 }
 
@@ -49,19 +44,11 @@
       Events.OBJECT_STORE_FAILED,
       "object store",
     );
-    const agent = new Agent({ keepAlive: true, localAddress: options.address });
     this.#client = new S3Client({
-      endpoint: options.url,
-      region: options.region ?? "local",
+      ...createClientConfiguration(options),
       forcePathStyle: true,
-      credentials: {
-        accessKeyId: options.accessKey,
-        secretAccessKey: options.secret,
-      },
-      maxAttempts: 1,
       requestChecksumCalculation: "WHEN_REQUIRED",
       responseChecksumValidation: "WHEN_REQUIRED",
-      requestHandler: new NodeHttpHandler({ httpAgent: agent }),
     });
   }
 
--- a/src/plugins/table_service/dynamo_table.ts
+++ b/src/plugins/table_service/dynamo_table.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { Agent } from "node:http";
 import {
   type AttributeValue,
   ConditionalCheckFailedException,
@@ -14,7 +13,6 @@
   TransactionCanceledException,
   TransactWriteItemsCommand,
 } from "@aws-sdk/client-dynamodb";
-import { NodeHttpHandler } from "@smithy/node-http-handler";
 import { ResultAsync } from "neverthrow";
 import { type EventLog, Events } from "../../kernel/events.ts";
 import { describeError, OutageLog } from "../../kernel/outage_log.ts";
@@ -29,21 +27,18 @@
   Row,
   TableService,
 } from "./table_service.ts";
+import {
+  createClientConfiguration,
+  type PlatformAccess,
+} from "../../utils/platform_client.ts";
 
 const REQUEST_TIMEOUT_MS = 1_000;
 const KEY_ATTRIBUTE = "key";
 const CONDITION_FAILED = "ConditionalCheckFailed";
 
 /** How to reach the table service. */
-export interface DynamoTableOptions {
-  readonly url: string;
+export interface DynamoTableOptions extends PlatformAccess {
   readonly table: string;
-  readonly accessKey: string;
-  readonly secret: string;
-  /** IP number to connect from; default lets the system choose. */
-  readonly address?: string;
-  /** Region that requests are signed for; default `local`. */
-  readonly region?: string;
   readonly log: EventLog;
 }
 
@@ -60,17 +55,7 @@
       Events.TABLE_SERVICE_FAILED,
       "table service",
     );
-    const agent = new Agent({ keepAlive: true, localAddress: options.address });
-    this.#client = new DynamoDBClient({
-      endpoint: options.url,
-      region: options.region ?? "local",
-      credentials: {
-        accessKeyId: options.accessKey,
-        secretAccessKey: options.secret,
-      },
-      maxAttempts: 1,
-      requestHandler: new NodeHttpHandler({ httpAgent: agent }),
-    });
+    this.#client = new DynamoDBClient(createClientConfiguration(options));
   }
 
   get(key: string): ResultAsync<Row | undefined, Failure> {
