Connections: pools know no protocol

Cause: the pool of an instance made its own members around a socket of the PostgreSQL face, so the face for the users' platform would have needed a copy of queueing, admission, warm connections and opening. A pool now keeps PoolMember and gets a factory from whoever opens; the decisions are untouched.

Ruled out: a second pool class for the platform.

--- a/src/plugins/connections/idle_stack.ts
+++ b/src/plugins/connections/idle_stack.ts
@@ -4,24 +4,24 @@
  *
  * @module
  */
-import type { PooledConnection } from "./pooled_connection.ts";
+import type { PoolMember } from "./pool_member.ts";
 
 /** Idle connections, by time of use. */
-export class IdleStack {
-  readonly #connections: PooledConnection[] = [];
+export class IdleStack<Member extends PoolMember> {
+  readonly #connections: Member[] = [];
 
   get size(): number {
     return this.#connections.length;
   }
 
   /** Adds a connection and watches it. */
-  push(connection: PooledConnection): void {
+  push(connection: Member): void {
     this.#connections.push(connection);
     connection.watch();
   }
 
   /** Takes out the connection used last; destroys those found unsound. */
-  pop(): PooledConnection | undefined {
+  pop(): Member | undefined {
     for (;;) {
       const connection = this.#connections.pop();
       if (!connection || connection.sound) return connection;
@@ -30,14 +30,14 @@
   }
 
   /** Takes out the connection used first, when it was last used before the time. */
-  shiftUnused(before = Infinity): PooledConnection | undefined {
+  shiftUnused(before = Infinity): Member | undefined {
     const oldest = this.#connections[0];
     if (!oldest || oldest.usedAt >= before) return undefined;
     return this.#connections.shift();
   }
 
   /** Takes out a connection; false when it was not idle. */
-  remove(connection: PooledConnection): boolean {
+  remove(connection: Member): boolean {
     const index = this.#connections.indexOf(connection);
     if (index < 0) return false;
     this.#connections.splice(index, 1);
--- a/src/plugins/connections/instance_pool.ts
+++ b/src/plugins/connections/instance_pool.ts
@@ -24,20 +24,24 @@
 import { Admission } from "./admission.ts";
 import type { ConnectionRequest, ConnectionUse } from "./connections.ts";
 import { DemandMeter } from "./demand_meter.ts";
-import { type ConnectionOwner, PooledConnection } from "./pooled_connection.ts";
 import { IdleStack } from "./idle_stack.ts";
 import { Opener } from "./opener.ts";
-import type { OpenedUpstream, UpstreamTarget } from "./upstream_client.ts";
+import type {
+  MemberFactory,
+  PoolMember,
+  PoolOwner,
+  PoolTarget,
+} from "./pool_member.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
 
 /** What a pool needs of its surroundings. */
-export interface PoolOptions {
-  readonly target: UpstreamTarget;
+export interface PoolOptions<Member extends PoolMember> {
+  readonly target: PoolTarget;
   readonly queueLength: number;
   /** Writes an event of this instance. */
   readonly log: (kind: EventKind, fields: EventFields) => void;
   /** Opens a connection to the target. */
-  readonly open: () => ResultAsync<OpenedUpstream, Failure>;
+  readonly open: () => ResultAsync<MemberFactory<Member>, Failure>;
   /** Told when the instance can't be reached or has ended an idle connection. */
   readonly onFailure: () => void;
 }
@@ -48,26 +52,27 @@
 /** An idle connection beyond the warm ones is closed after this time without use. */
 const IDLE_TIMEOUT_MS = 30_000;
 
-type Loan = Result<PooledConnection, Failure>;
+type Loan<Member> = Result<Member, Failure>;
 
 /** Pool of one instance. */
-export class InstancePool implements ConnectionOwner {
+export class InstancePool<Member extends PoolMember>
+  implements PoolOwner<Member> {
   readonly demand = new DemandMeter();
   readonly admission: Admission;
-  readonly #options: PoolOptions;
-  readonly #idle = new IdleStack();
-  readonly #open = new Set<PooledConnection>();
-  readonly #busy = new Set<PooledConnection>();
+  readonly #options: PoolOptions<Member>;
+  readonly #idle = new IdleStack<Member>();
+  readonly #open = new Set<Member>();
+  readonly #busy = new Set<Member>();
   /** Connections that end but may still count at the instance. */
-  readonly #ending = new Set<PooledConnection>();
-  readonly #queue = new WaitingQueue<Loan>();
-  readonly #opener: Opener;
+  readonly #ending = new Set<Member>();
+  readonly #queue = new WaitingQueue<Loan<Member>>();
+  readonly #opener: Opener<MemberFactory<Member>>;
   #opened = 0;
   #share = 0;
   #closedFor: Failure | undefined;
   #releasedAt = -Infinity;
 
-  constructor(options: PoolOptions) {
+  constructor(options: PoolOptions<Member>) {
     this.#options = options;
     this.admission = new Admission(
       options.target.instance,
@@ -77,13 +82,13 @@
     );
     this.#opener = new Opener({
       open: options.open,
-      onOpened: (opened) => this.#onOpened(opened),
+      onOpened: (createMember) => this.#onOpened(createMember),
       onFailed: (failure, begun) => this.#onFailed(failure, begun),
       onPauseEnded: () => this.#openForWaiters(),
     });
   }
 
-  get target(): UpstreamTarget {
+  get target(): PoolTarget {
     return this.#options.target;
   }
 
@@ -115,7 +120,7 @@
   }
 
   /** Lends a connection. */
-  acquire(request: ConnectionRequest): ResultAsync<PooledConnection, Failure> {
+  acquire(request: ConnectionRequest): ResultAsync<Member, Failure> {
     if (this.#closedFor) return errAsync(this.#closedFor);
     const idle = this.#idle.pop();
     if (idle) {
@@ -174,7 +179,7 @@
     this.#openAhead();
   }
 
-  released(connection: PooledConnection): void {
+  released(connection: Member): void {
     const now = performance.now();
     this.#busy.delete(connection);
     this.admission.noteService(now - connection.usedAt);
@@ -184,7 +189,7 @@
     this.demand.note(this.load, now);
   }
 
-  closed(connection: PooledConnection): void {
+  closed(connection: Member): void {
     this.#open.delete(connection);
     this.#ending.delete(connection);
     this.#busy.delete(connection);
@@ -194,19 +199,19 @@
     this.#openForWaiters();
   }
 
-  #keepOrEnd(connection: PooledConnection): void {
+  #keepOrEnd(connection: Member): void {
     const surplus = this.#open.size > this.#share;
     if (this.#closedFor || surplus) this.#end(connection);
     else this.#offer(connection);
   }
 
-  #end(connection: PooledConnection): void {
+  #end(connection: Member): void {
     this.#open.delete(connection);
     this.#ending.add(connection);
     connection.end();
   }
 
-  #offer(connection: PooledConnection): void {
+  #offer(connection: Member): void {
     const waiter = this.#queue.shift();
     if (waiter) {
       this.#lend(connection);
@@ -216,7 +221,7 @@
     this.#idle.push(connection);
   }
 
-  #lend(connection: PooledConnection): void {
+  #lend(connection: Member): void {
     this.#busy.add(connection);
     connection.lend();
     this.demand.note(this.load, connection.usedAt);
@@ -239,7 +244,7 @@
     return this.admission.refusal(request, this.#queue, this.#expectedOpen);
   }
 
-  #wait(request: ConnectionRequest): Promise<Loan> {
+  #wait(request: ConnectionRequest): Promise<Loan<Member>> {
     const loan = this.#queue.wait(
       request.priority,
       this.admission.stayUntil(request),
@@ -249,7 +254,7 @@
     return loan;
   }
 
-  #expired(): Loan {
+  #expired(): Loan<Member> {
     this.demand.note(this.load);
     return err(this.admission.deadlineFailure());
   }
@@ -274,9 +279,9 @@
       !this.#opener.paused;
   }
 
-  #onOpened(opened: OpenedUpstream): void {
+  #onOpened(createMember: MemberFactory<Member>): void {
     this.#opened += 1;
-    const connection = new PooledConnection(this.target, opened, this);
+    const connection = createMember(this);
     this.#open.add(connection);
     this.#options.log(Events.CONNECTION_OPENED, { connection: connection.id });
     this.#keepOrEnd(connection);
--- a/src/plugins/connections/opener.ts
+++ b/src/plugins/connections/opener.ts
@@ -7,12 +7,11 @@
 import type { ResultAsync } from "neverthrow";
 import { type Failure, ResultCodes } from "../../kernel/result_codes.ts";
 import { RetryDelay } from "./retry_delay.ts";
-import type { OpenedUpstream } from "./upstream_client.ts";
 
 /** What an opener needs and whom it tells. */
-export interface OpenerOptions {
-  readonly open: () => ResultAsync<OpenedUpstream, Failure>;
-  readonly onOpened: (opened: OpenedUpstream) => void;
+export interface OpenerOptions<Opened> {
+  readonly open: () => ResultAsync<Opened, Failure>;
+  readonly onOpened: (opened: Opened) => void;
   /** The instance refused or can't be reached; `begun` is the monotonic ms of the attempt. */
   readonly onFailed: (failure: Failure, begun: number) => void;
   /** The pause after a failure has ended. */
@@ -20,13 +19,13 @@
 }
 
 /** Opener of one instance. */
-export class Opener {
-  readonly #options: OpenerOptions;
+export class Opener<Opened> {
+  readonly #options: OpenerOptions<Opened>;
   readonly #refused = new RetryDelay();
   readonly #unreachable = new RetryDelay();
   #pending = 0;
 
-  constructor(options: OpenerOptions) {
+  constructor(options: OpenerOptions<Opened>) {
     this.#options = options;
   }
 
@@ -55,7 +54,7 @@
     );
   }
 
-  #succeed(opened: OpenedUpstream): void {
+  #succeed(opened: Opened): void {
     this.#pending -= 1;
     this.#refused.reset();
     this.#unreachable.reset();
--- a/src/plugins/connections/pooled_connection.ts
+++ b/src/plugins/connections/pooled_connection.ts
@@ -5,16 +5,9 @@
  */
 import type { Socket } from "node:net";
 import type { UpstreamConnection } from "./connections.ts";
+import type { PoolMember, PoolOwner } from "./pool_member.ts";
 import type { OpenedUpstream, UpstreamTarget } from "./upstream_client.ts";
 
-/** What a connection tells its pool. */
-export interface ConnectionOwner {
-  /** The borrower gave it back. */
-  released(connection: PooledConnection): void;
-  /** The socket is closed, for whatever reason. */
-  closed(connection: PooledConnection): void;
-}
-
 /** Message Terminate of the protocol: a connection that ends in good order. */
 const TERMINATE = Buffer.from([0x58, 0, 0, 0, 4]);
 
@@ -26,7 +19,7 @@
 let lastId = 0;
 
 /** Connection of a pool, lent to one borrower at a time. */
-export class PooledConnection implements UpstreamConnection {
+export class PooledConnection implements UpstreamConnection, PoolMember {
   readonly id = ++lastId;
   readonly database: string;
   readonly instance: string;
@@ -39,7 +32,7 @@
   /** Monotonic ms of the last loan or return. */
   usedAt = performance.now();
 
-  readonly #owner: ConnectionOwner;
+  readonly #owner: PoolOwner<PooledConnection>;
   #lent = false;
   #canceled = false;
   #closing = false;
@@ -47,7 +40,7 @@
   constructor(
     target: UpstreamTarget,
     opened: OpenedUpstream,
-    owner: ConnectionOwner,
+    owner: PoolOwner<PooledConnection>,
   ) {
     this.database = target.database;
     this.instance = target.instance;
--- a/src/plugins/connections/shared_connections.ts
+++ b/src/plugins/connections/shared_connections.ts
@@ -25,6 +25,8 @@
 } from "./connections.ts";
 import { DEMAND_SAMPLE_MS } from "./demand_meter.ts";
 import { InstancePool } from "./instance_pool.ts";
+import type { PoolOwner } from "./pool_member.ts";
+import { PooledConnection } from "./pooled_connection.ts";
 import {
   cancelUpstream,
   openUpstream,
@@ -58,7 +60,8 @@
 const SILENCE_FAILURES = 3;
 
 interface Entry {
-  readonly pool: InstancePool;
+  readonly pool: InstancePool<PooledConnection>;
+  readonly target: UpstreamTarget;
   limit: number;
   share: number;
   /** Whether the share has to be computed anew. */
@@ -136,7 +139,7 @@
     if (!entry) return;
     const { identity } = this.#options;
     connection.cancel();
-    await cancelUpstream(entry.pool.target, identity, connection);
+    await cancelUpstream(entry.target, identity, connection);
   }
 
   #busy(): boolean {
@@ -173,11 +176,16 @@
           ...fields,
         }),
       queueLength: group.queue.length,
-      open: () => openUpstream(target, identity),
+      open: () =>
+        openUpstream(target, identity).map(
+          (opened) => (owner: PoolOwner<PooledConnection>) =>
+            new PooledConnection(target, opened, owner),
+        ),
       onFailure: () => health.reportFailure(group.database, instance.name),
     });
     return {
       pool,
+      target,
       limit: group.connectionsPerInstance,
       share: 0,
       stale: false,
@@ -191,13 +199,14 @@
       this.#entries.delete(key);
       entry.pool.close(createFailure(
         ResultCodes.UPSTREAM_UNREACHABLE,
-        `${entry.pool.target.instance} is no longer in the document in force`,
+        `${entry.target.instance} is no longer in the document in force`,
       ));
     }
   }
 
   #keep(entry: Entry): boolean {
-    const { target, admission } = entry.pool;
+    const { target } = entry;
+    const { admission } = entry.pool;
     const group = this.#options.configuration.group(target.database);
     const instance = group?.instances.find(({ name }) =>
       name === target.instance
@@ -222,7 +231,7 @@
   }
 
   #heedLeaving(entry: Entry, now: number): void {
-    const { instance } = entry.pool.target;
+    const { instance } = entry.target;
     const view = this.#view(entry);
     if (!view?.leaving) {
       if (entry.leavingSince !== undefined) entry.pool.reopen();
@@ -247,13 +256,13 @@
   }
 
   #isReplaced(entry: Entry): boolean {
-    const { database, instance } = entry.pool.target;
+    const { database, instance } = entry.target;
     const primary = this.#options.health.view(database)?.primary;
     return primary !== undefined && primary !== instance;
   }
 
   #view(entry: Entry): InstanceView | undefined {
-    const { database, instance } = entry.pool.target;
+    const { database, instance } = entry.target;
     return this.#options.health.view(database)?.instances
       .find((item) => item.instance.name === instance);
   }
@@ -281,7 +290,7 @@
   #share(entry: Entry): void {
     entry.stale = false;
     const { membership, proxy, log } = this.#options;
-    const { database, instance } = entry.pool.target;
+    const { database, instance } = entry.target;
     const proxies = membership.alive();
     const shares = splitBudget({
       database,
