--- /dev/null
+++ b/src/plugins/connections/upstream_pools.ts
@@ -0,0 +1,193 @@
+/**
+ * One pool for each listed instance, under a share of its connections.
+ *
+ * @module
+ */
+import { err, errAsync, type Result, type ResultAsync } from "neverthrow";
+import { type EventLog, Events } from "../../kernel/events.ts";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import type {
+  InstanceDirectory,
+  ListedInstance,
+} from "../deployment/instance_directory.ts";
+import type { RoutesInForce } from "../deployment/routes.ts";
+import type { UpstreamLink } from "../upstream/link.ts";
+import type { Priority } from "./connections.ts";
+import { DEMAND_SAMPLE_MS } from "./demand_meter.ts";
+import { InstancePool } from "./instance_pool.ts";
+import type { MemberFactory } from "./pool_member.ts";
+
+/** Opens connections to instances. */
+export interface InstanceConnector {
+  open(
+    instance: ListedInstance,
+  ): ResultAsync<MemberFactory<UpstreamLink>, Failure>;
+}
+
+/** What the pools are made with. */
+export interface UpstreamPoolsOptions {
+  readonly directory: InstanceDirectory;
+  readonly routes: RoutesInForce;
+  readonly connector: InstanceConnector;
+  /** Number of proxies that share the connections of an instance. */
+  readonly proxies: () => number;
+  readonly log: EventLog;
+  /** Told when an instance can't be reached or has ended an idle connection. */
+  readonly onFailure: (instance: ListedInstance) => void;
+}
+
+/** Part of an instance's connections that the shares add up to; the rest is for probes and for proxies that join. */
+const SHARED_PART = 0.9;
+
+/** Fewest connections of a proxy to an instance. */
+const SHARE_LEAST = 2;
+
+/** Statements that may wait for a connection to one instance. */
+const QUEUE_LENGTH = 400;
+
+interface Entry {
+  readonly pool: InstancePool<UpstreamLink>;
+  readonly instance: ListedInstance;
+}
+
+/** Pools by the id of the instance. */
+export class UpstreamPools {
+  readonly #options: UpstreamPoolsOptions;
+  readonly #entries = new Map<string, Entry>();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: UpstreamPoolsOptions) {
+    this.#options = options;
+  }
+
+  /** Begins the regular upkeep. */
+  start(): void {
+    this.#timer = setInterval(() => this.#maintain(), DEMAND_SAMPLE_MS);
+  }
+
+  /** Closes all connections. */
+  stop(): void {
+    clearInterval(this.#timer);
+    for (const { pool } of this.#entries.values()) {
+      pool.destroy(
+        createFailure(ResultCodes.SHUTTING_DOWN, "this proxy is stopping"),
+      );
+    }
+    this.#entries.clear();
+  }
+
+  /** Lends a connection to an instance; the failure says whether it can't be reached or is overloaded. */
+  acquire(
+    id: string,
+    priority: Priority,
+    deadline: number,
+  ): ResultAsync<UpstreamLink, Failure> {
+    const entry = this.#entry(id);
+    if (!entry) {
+      return errAsync(createFailure(
+        ResultCodes.UPSTREAM_UNREACHABLE,
+        `instance ${id} is not listed`,
+      ));
+    }
+    const { database, instance } = entry.pool.target;
+    return entry.pool.acquire({ database, instance, priority, deadline });
+  }
+
+  /** Connections of an instance in use and waited for by this proxy. */
+  outstanding(id: string): number {
+    return this.#entries.get(id)?.pool.load ?? 0;
+  }
+
+  /** Lets an instance go that is no longer listed: lent connections end as they come back. */
+  forget(id: string): void {
+    this.#entries.get(id)?.pool.close(createFailure(
+      ResultCodes.UPSTREAM_UNREACHABLE,
+      `instance ${id} is gone`,
+    ));
+    this.#entries.delete(id);
+  }
+
+  /** Closes the lent connections of an instance; their borrowers see them as lost. */
+  destroyBusy(id: string): void {
+    this.#entries.get(id)?.pool.destroyBusy();
+  }
+
+  /** Use of all instances. */
+  use(): readonly (InstancePool<UpstreamLink>["use"])[] {
+    return [...this.#entries.values()].map(({ pool }) => pool.use);
+  }
+
+  #entry(id: string): Entry | undefined {
+    const instance = this.#options.directory.get(id);
+    const known = this.#entries.get(id);
+    if (!instance) return known;
+    if (known && isSameLife(known.instance, instance)) return known;
+    if (known) this.forget(id);
+    const entry = this.#createEntry(instance);
+    this.#entries.set(id, entry);
+    return entry;
+  }
+
+  #createEntry(instance: ListedInstance): Entry {
+    const { connector, log, onFailure } = this.#options;
+    const pool = new InstancePool<UpstreamLink>({
+      target: { database: instance.group, instance: instance.id },
+      queueLength: QUEUE_LENGTH,
+      log: (kind, fields) =>
+        log.write(kind, {
+          group: instance.group,
+          instance: instance.id,
+          ...fields,
+        }),
+      open: () => connector.open(instance),
+      onFailure: () => onFailure(instance),
+    });
+    pool.setShare(this.#share(instance.group));
+    return { pool, instance };
+  }
+
+  #share(group: string): number {
+    const settings = this.#options.routes.table?.groups.get(group);
+    const limit = settings?.connectionsPerInstance ?? SHARE_LEAST;
+    const proxies = Math.max(1, this.#options.proxies());
+    return Math.max(SHARE_LEAST, Math.floor(limit * SHARED_PART / proxies));
+  }
+
+  #maintain(): void {
+    const now = performance.now();
+    for (const { id } of this.#options.directory.sweep(now)) {
+      this.#options.log.write(Events.INSTANCE_EXCLUDED, {
+        instance: id,
+        reason: "its entry is gone",
+      });
+      this.forget(id);
+    }
+    for (const { pool, instance } of this.#entries.values()) {
+      const share = this.#share(instance.group);
+      if (share !== pool.use.share) pool.setShare(share);
+      pool.maintain(now);
+    }
+  }
+}
+
+function isSameLife(a: ListedInstance, b: ListedInstance): boolean {
+  return a.host === b.host && a.port === b.port && a.startedAt === b.startedAt;
+}
+
+/** Runs work with a connection of an instance and gives it back when the work says that it is idle. */
+export async function withLink<T>(
+  pools: UpstreamPools,
+  id: string,
+  deadline: number,
+  work: (link: UpstreamLink) => Promise<Result<T, { readonly reason: string }>>,
+): Promise<Result<T, { readonly reason: string }>> {
+  const lent = await pools.acquire(id, "high", deadline);
+  if (lent.isErr()) return err({ reason: lent.error.message });
+  const outcome = await work(lent.value);
+  lent.value.release();
+  return outcome;
+}
--- /dev/null
+++ b/src/plugins/leadership/primary_change.ts
@@ -0,0 +1,403 @@
+/**
+ * One change of a group's primary, from the row in the store to the new primary.
+ *
+ * 1. The row says `changing`: no proxy begins work with the old primary.
+ * 2. Each proxy heeds the row, or its lease runs out.
+ * 3. Where a proxy was not heard, the other instances are paused first, which
+ *    tells a proxy without the store that a promotion is under way.
+ * 4. The instance with the furthest log is promoted, and the row names it.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import type { Result } from "neverthrow";
+import { type EventLog, Events } from "../../kernel/events.ts";
+import { type UpstreamPools, withLink } from "../connections/upstream_pools.ts";
+import type {
+  InstanceDirectory,
+  ListedInstance,
+} from "../deployment/instance_directory.ts";
+import type { LinkStatus } from "../upstream/link.ts";
+import { comparePositions, formatPosition } from "../upstream/position.ts";
+import type {
+  Coordination,
+  GroupRecord,
+  PromotionOrder,
+} from "./coordination.ts";
+import {
+  type GroupLeadership,
+  LEASE_EXPIRY_WAIT_MS,
+} from "./group_leadership.ts";
+
+/** Time that a change may take before another proxy takes it over, in ms: the wait for leases, then one promotion. */
+export const CHANGE_TIME_MS = 9_000;
+
+/** Time left of a change below which nothing is ordered any more, in ms; covers a call that is held up on its way. */
+const ORDER_MARGIN_MS = 1_500;
+
+/** Time for one status, pause or step-down, in ms. */
+const STATUS_TIMEOUT_MS = 500;
+
+/** Pause between two looks at what is waited for, in ms. */
+const POLL_MS = 40;
+
+/** Time for one call that orders a promotion, in ms. */
+const PROMOTE_TIMEOUT_MS = 1_000;
+
+/** How long a candidate of a planned change may take to receive the rest of the log, in ms. */
+const CATCH_UP_MS = 1_500;
+
+/** Another proxy's answer from the old primary this young, in ms, shows that it lives. */
+const ALIVE_WITHIN_MS = 600;
+
+/** First look at an instance that was ordered to lead, in ms; the fastest users' databases take 300 ms. */
+const FIRST_LOOK_MS = 200;
+
+/** What a change is made with. */
+export interface PrimaryChangeOptions {
+  /** Name of this proxy. */
+  readonly proxy: string;
+  readonly leadership: GroupLeadership;
+  readonly coordination: Coordination;
+  readonly directory: InstanceDirectory;
+  readonly pools: UpstreamPools;
+  readonly order: PromotionOrder;
+  readonly log: EventLog;
+}
+
+/** Why a change is made. */
+export interface ChangeReason {
+  /** The primary lives and hands over; else it counts as dead. */
+  readonly planned: boolean;
+  readonly text: string;
+}
+
+/** How a change ended. */
+export type ChangeOutcome = "changed" | "abandoned" | "lost";
+
+interface Candidate {
+  readonly id: string;
+  readonly status: LinkStatus;
+}
+
+/** Carries out one change of one group's primary. */
+export class PrimaryChange {
+  readonly #options: PrimaryChangeOptions;
+  readonly #reason: ChangeReason;
+  #version = 0;
+  #record: GroupRecord | undefined;
+  #paused: string[] = [];
+
+  constructor(options: PrimaryChangeOptions, reason: ChangeReason) {
+    this.#options = options;
+    this.#reason = reason;
+  }
+
+  /** Runs the change to its end. */
+  async run(): Promise<ChangeOutcome> {
+    const begun = performance.now();
+    const outcome = await this.#run();
+    this.#write(Events.SWITCHOVER_ENDED, {
+      outcome,
+      elapsed: Math.round(performance.now() - begun),
+    });
+    return outcome;
+  }
+
+  async #run(): Promise<ChangeOutcome> {
+    if (!await this.#announce()) return "lost";
+    const absent = await this.#waitUntilHeeded();
+    if (!this.#reason.planned && this.#someoneHears()) {
+      await this.#settle(this.#record!.primary, this.#record!.term);
+      return "abandoned";
+    }
+    const candidates = await this.#candidates(absent.length > 0);
+    for (const candidate of candidates) {
+      const promoted = await this.#promote(candidate);
+      if (promoted === "lost") return "lost";
+      if (promoted !== undefined) {
+        await this.#settle(candidate.id, promoted);
+        await this.#resume(candidate.id);
+        if (absent.length > 0) {
+          await this.#options.coordination.markAbsent(absent);
+        }
+        return "changed";
+      }
+    }
+    await this.#resume("");
+    await this.#settle(this.#record!.primary, this.#record!.term);
+    return "abandoned";
+  }
+
+  /** Puts the row that tells everyone of the change. */
+  async #announce(): Promise<boolean> {
+    const { leadership, coordination, proxy } = this.#options;
+    const present = coordination.group(leadership.group);
+    const primary = leadership.primary;
+    if (!primary) return false;
+    this.#record = {
+      phase: "changing",
+      primary,
+      term: leadership.term,
+      holder: proxy,
+      planned: this.#reason.planned,
+      expiresAt: coordination.clock() + CHANGE_TIME_MS,
+      operation: randomUUID(),
+    };
+    const written = await coordination.putGroup(
+      leadership.group,
+      present?.version ?? 0,
+      this.#record,
+    );
+    this.#write(Events.SWITCHOVER_STARTED, {
+      primary,
+      planned: this.#reason.planned,
+      reason: this.#reason.text,
+      before: present?.version ?? 0,
+      outcome: written.isOk() ? "announced" : written.error.kind,
+    });
+    if (written.isErr()) return false;
+    this.#version = written.value.version;
+    return true;
+  }
+
+  /** Waits until every proxy has heeded the change or can't hold a lease any more; gives those that were not heard. */
+  async #waitUntilHeeded(): Promise<readonly string[]> {
+    const { leadership, coordination } = this.#options;
+    const until = performance.now() + LEASE_EXPIRY_WAIT_MS;
+    const missing = () =>
+      [...coordination.hosts()]
+        .filter(([name, { value }]) => {
+          const since = value.absentSince;
+          if (
+            since !== undefined &&
+            coordination.clock() - since > LEASE_EXPIRY_WAIT_MS
+          ) return false;
+          const heeded = coordination.acknowledgement(leadership.group, name);
+          return heeded?.version !== this.#version;
+        })
+        .map(([name]) => name);
+    while (missing().length > 0 && performance.now() < until) await pause();
+    const absent = missing();
+    this.#write(Events.CHANGE_AWAITED, {
+      version: this.#version,
+      proxies: coordination.hosts().size,
+      absent,
+    });
+    return absent;
+  }
+
+  /** Whether a proxy has had an answer of the primary just before it heeded the change. */
+  #someoneHears(): boolean {
+    const { leadership, coordination, proxy } = this.#options;
+    const witness = [...coordination.hosts().keys()].find((name) => {
+      if (name === proxy) return false;
+      const heeded = coordination.acknowledgement(leadership.group, name);
+      if (heeded?.version !== this.#version) return false;
+      return heeded.heardAgo !== null && heeded.heardAgo < ALIVE_WITHIN_MS;
+    });
+    if (!witness) return false;
+    this.#write(Events.FAILOVER_WITHHELD, { witness });
+    return true;
+  }
+
+  /** The instances that may take over, the one with the furthest log first. */
+  async #candidates(pausing: boolean): Promise<readonly Candidate[]> {
+    const primary = this.#record!.primary;
+    const others = this.#options.directory.group(this.#options.leadership.group)
+      .filter(({ id }) => id !== primary);
+    if (this.#reason.planned) await this.#waitForCatchUp(others);
+    const term = this.#record!.term + 1;
+    const answers = await Promise.all(others.map(async (instance) => {
+      const status = pausing
+        ? await this.#ask(instance, (link, at) => link.pause(term, at))
+        : await this.#ask(instance, (link, at) => link.status(at));
+      if (pausing && status.isOk()) this.#paused.push(instance.id);
+      return { instance, status };
+    }));
+    if (pausing) await this.#stepDown(primary, term);
+    const heard = answers.flatMap(({ instance, status }) =>
+      status.isOk()
+        ? [{ id: instance.id, status: status.value, leaving: instance.leaving }]
+        : []
+    );
+    heard.sort((a, b) => {
+      if (a.leaving !== b.leaving) return a.leaving ? 1 : -1;
+      return comparePositions(b.status.received, a.status.received);
+    });
+    this.#write(Events.CANDIDATES_FOUND, {
+      asked: others.length,
+      pausing,
+      candidates: heard.map(({ id, status }) =>
+        `${id} ${status.role} ${formatPosition(status.received)}`
+      ),
+    });
+    return heard;
+  }
+
+  /** Waits until some replica holds all that the primary has, so that a planned change loses nothing. */
+  async #waitForCatchUp(others: readonly ListedInstance[]): Promise<void> {
+    const { directory } = this.#options;
+    const primary = directory.get(this.#record!.primary);
+    if (!primary) return;
+    const end = await this.#ask(primary, (link, at) => link.status(at));
+    if (end.isErr()) return;
+    const until = performance.now() + CATCH_UP_MS;
+    const usable = others.filter(({ leaving }) => !leaving);
+    while (performance.now() < until) {
+      const answers = await Promise.all(
+        usable.map((instance) =>
+          this.#ask(instance, (link, at) => link.status(at))
+        ),
+      );
+      const caughtUp = answers.some((status) =>
+        status.isOk() &&
+        comparePositions(status.value.received, end.value.received) >= 0
+      );
+      if (caughtUp) return;
+      await pause();
+    }
+  }
+
+  /** The new term; undefined when the candidate can't lead, "lost" when this proxy may not go on. */
+  async #promote(candidate: Candidate): Promise<number | "lost" | undefined> {
+    const { leadership, order, proxy } = this.#options;
+    if (
+      candidate.status.role === "primary" &&
+      candidate.status.term > this.#record!.term
+    ) return candidate.status.term;
+    while (this.#mayOrder()) {
+      const reply = await order.promote(
+        {
+          group: leadership.group,
+          instance: candidate.id,
+          holder: proxy,
+          token: this.#version,
+        },
+        performance.now() + PROMOTE_TIMEOUT_MS,
+        () => this.#mayOrder(),
+      );
+      this.#write(Events.PROMOTED, {
+        instance: candidate.id,
+        token: this.#version,
+        received: formatPosition(candidate.status.received),
+        reply: reply.kind,
+        reason: "reason" in reply ? reply.reason : undefined,
+      });
+      if (reply.kind === "rejected") return undefined;
+      if (reply.kind === "accepted") {
+        const term = await this.#waitForTerm(candidate.id);
+        if (term !== undefined) return term;
+      }
+      await pause();
+    }
+    return "lost";
+  }
+
+  /** Waits until an instance leads under a higher term. */
+  async #waitForTerm(id: string): Promise<number | undefined> {
+    const { directory } = this.#options;
+    await new Promise((resolve) => setTimeout(resolve, FIRST_LOOK_MS));
+    while (this.#mayOrder()) {
+      const instance = directory.get(id);
+      if (!instance) return undefined;
+      const status = await this.#ask(instance, (link, at) => link.status(at));
+      if (
+        status.isOk() && status.value.role === "primary" &&
+        status.value.term > this.#record!.term
+      ) return status.value.term;
+      await pause();
+    }
+    return undefined;
+  }
+
+  /** Whether the change is still this proxy's, with time to spare for one more order. */
+  #mayOrder(): boolean {
+    const { coordination, leadership } = this.#options;
+    const present = coordination.group(leadership.group);
+    if (present && present.version > this.#version) return false;
+    const left = this.#record!.expiresAt - coordination.clock();
+    return left > ORDER_MARGIN_MS;
+  }
+
+  /** Puts the row that names the primary from now on. */
+  async #settle(primary: string, term: number): Promise<void> {
+    const { coordination, leadership, proxy } = this.#options;
+    const written = await coordination.putGroup(
+      leadership.group,
+      this.#version,
+      {
+        phase: "steady",
+        primary,
+        term,
+        holder: proxy,
+        planned: this.#reason.planned,
+        expiresAt: this.#record!.expiresAt,
+        operation: randomUUID(),
+      },
+    );
+    this.#write(Events.CHANGE_SETTLED, {
+      primary,
+      term,
+      outcome: written.isOk() ? "done" : written.error.kind,
+    });
+  }
+
+  /** Asks the old primary to step down, should it live after all. */
+  async #stepDown(primary: string, term: number): Promise<void> {
+    const instance = this.#options.directory.get(primary);
+    if (!instance) return;
+    const status = await this.#ask(
+      instance,
+      (link, at) => link.stepDown(term, at),
+    );
+    this.#write(Events.FENCED, {
+      instance: primary,
+      term,
+      outcome: status.isOk() ? status.value.role : status.error.reason,
+    });
+  }
+
+  /** Lets the paused replicas receive again. */
+  async #resume(promoted: string): Promise<void> {
+    const { directory } = this.#options;
+    const paused = this.#paused.filter((id) => id !== promoted);
+    await Promise.all(paused.map(async (id) => {
+      const instance = directory.get(id);
+      if (!instance) return;
+      const status = await this.#ask(instance, (link, at) => link.resume(at));
+      this.#write(Events.FOLLOW_ORDERED, {
+        instance: id,
+        outcome: status.isOk() ? "done" : status.error.reason,
+      });
+    }));
+  }
+
+  async #ask(
+    instance: ListedInstance,
+    work: (
+      link: Parameters<Parameters<typeof withLink<LinkStatus>>[3]>[0],
+      deadline: number,
+    ) => Promise<Result<LinkStatus, { readonly reason: string }>>,
+  ): Promise<Result<LinkStatus, { readonly reason: string }>> {
+    const deadline = performance.now() + STATUS_TIMEOUT_MS;
+    return await withLink(
+      this.#options.pools,
+      instance.id,
+      deadline,
+      (link) => work(link, deadline),
+    );
+  }
+
+  #write(
+    kind: Parameters<EventLog["write"]>[0],
+    fields: Readonly<Record<string, unknown>>,
+  ): void {
+    const { group } = this.#options.leadership;
+    this.#options.log.write(kind, { group, ...fields });
+  }
+}
+
+function pause(): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, POLL_MS));
+}
--- /dev/null
+++ b/src/plugins/sessions/caller_session.ts
@@ -0,0 +1,300 @@
+/**
+ * The task of one caller's connection: reads statements one after the other and
+ * answers each.
+ *
+ * @module
+ */
+import type { Result } from "neverthrow";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import type { Route } from "../deployment/routes.ts";
+import type { TransactionState } from "../upstream/link.ts";
+import type {
+  CallerChannel,
+  CallerRequest,
+  CallerStatement,
+} from "./caller.ts";
+import { preparedName } from "./link_preparation.ts";
+import { type Outcome, transactionLost } from "./outcome.ts";
+import { type ReadOperation, runRead } from "./read_run.ts";
+import {
+  type SessionContext,
+  SessionState,
+  type Task,
+} from "./session_context.ts";
+import { Transaction } from "./transaction.ts";
+import { runWrite } from "./write_run.ts";
+
+type Opening = Promise<Result<Transaction, Failure>>;
+
+/** One session. */
+export class CallerSession {
+  readonly #context: SessionContext;
+  readonly #channel: CallerChannel;
+  readonly #database: string;
+  readonly #session = new SessionState();
+  /** The open transaction; a rejected opening is a failed one. */
+  #opening: Opening | undefined;
+  #failed = false;
+  /** The route that the open transaction follows. */
+  #route: Route | undefined;
+  #busy = false;
+  #idleTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    context: SessionContext,
+    channel: CallerChannel,
+    database: string,
+  ) {
+    this.#context = context;
+    this.#channel = channel;
+    this.#database = database;
+  }
+
+  /** Whether nothing is under way: no statement and no transaction. */
+  get idle(): boolean {
+    return !this.#busy && this.#state === "idle";
+  }
+
+  /** Whether a transaction rests between two statements. */
+  get resting(): boolean {
+    return !this.#busy && this.#state !== "idle";
+  }
+
+  /** Answers statements until the caller goes or this proxy stops. */
+  async run(): Promise<void> {
+    for (;;) {
+      const request = await this.#channel.next();
+      clearTimeout(this.#idleTimer);
+      if (!request) break;
+      this.#busy = true;
+      await this.#handle(request);
+      this.#busy = false;
+      if (this.#context.stopping() && this.#state === "idle") break;
+      this.#watchIdle();
+    }
+    this.endTransaction();
+    this.#channel.close();
+  }
+
+  /** Ends an open transaction without effect; the caller's next statement is refused. */
+  endTransaction(): void {
+    const opening = this.#opening;
+    this.#opening = undefined;
+    if (!opening) return;
+    this.#failed = true;
+    void opening.then((opened) => {
+      if (opened.isOk()) opened.value.abandon();
+    });
+  }
+
+  get #state(): TransactionState {
+    if (this.#failed) return "failed";
+    return this.#opening ? "open" : "idle";
+  }
+
+  #watchIdle(): void {
+    if (!this.#opening) return;
+    const timeout = this.#context.routes.table?.transactionIdleTimeout;
+    if (!timeout) return;
+    this.#idleTimer = setTimeout(() => this.endTransaction(), timeout);
+  }
+
+  async #handle(request: CallerRequest): Promise<void> {
+    const { statement } = request;
+    switch (statement.kind) {
+      case "malformed":
+        return this.#malformed(request, statement.reason);
+      case "commit":
+        return await this.#commit(request, statement.text);
+      case "rollback":
+        return this.#rollback();
+    }
+    if (this.#failed) {
+      return this.#malformed(request, "the transaction has failed");
+    }
+    switch (statement.kind) {
+      case "set":
+        this.#session.values.set(statement.name, statement.value);
+        return this.#channel.complete(this.#state);
+      case "prepare":
+        this.#session.prepared.set(statement.name, statement.shape);
+        return this.#channel.complete(this.#state);
+      case "deallocate":
+        this.#session.prepared.delete(statement.name);
+        return this.#channel.complete(this.#state);
+      case "begin":
+        return this.#begin(request, statement.readOnly);
+      default:
+        return await this.#runStatement(request, statement);
+    }
+  }
+
+  #begin(request: CallerRequest, readOnly: boolean): void {
+    if (this.#opening) return this.#malformed(request, "already open");
+    const task = this.#task(request);
+    if (!task) return this.#noRoute(request);
+    this.#route = task.route;
+    // Opened while the caller prepares its first statement.
+    this.#opening = Transaction.open(task, readOnly);
+    this.#channel.complete("open");
+  }
+
+  async #runStatement(
+    request: CallerRequest,
+    statement: CallerStatement & { kind: "read" | "write" | "execute" },
+  ): Promise<void> {
+    const resolved = this.#resolve(statement);
+    if (!resolved) {
+      const failure = createFailure(
+        ResultCodes.STATEMENT_UNKNOWN,
+        "no statement of that name is prepared",
+      );
+      return this.#refuse(request, failure);
+    }
+    const task = this.#task(request);
+    if (!task) return this.#noRoute(request);
+    const { effect, operation } = resolved;
+    if (this.#opening) {
+      return await this.#runInTransaction(task, operation, effect);
+    }
+    const outcome = effect === "read"
+      ? await runRead(task, operation)
+      : await runWrite(task, operation);
+    this.#tell(request, outcome);
+  }
+
+  async #runInTransaction(
+    task: Task,
+    operation: ReadOperation,
+    effect: "read" | "write",
+  ): Promise<void> {
+    const opened = await this.#opening!;
+    if (opened.isErr()) {
+      this.#opening = undefined;
+      this.#failed = true;
+      return this.#refuse(task, opened.error);
+    }
+    const outcome = await opened.value.run(task, operation, effect);
+    if (outcome.kind === "refused") {
+      this.#opening = undefined;
+      this.#failed = true;
+      return this.#tell(task, outcome);
+    }
+    if (outcome.answer.fault) this.endTransaction();
+    this.#tell(task, outcome);
+  }
+
+  async #commit(request: CallerRequest, text: string): Promise<void> {
+    const opening = this.#opening;
+    const failed = this.#failed;
+    this.#failed = false;
+    this.#opening = undefined;
+    if (failed) {
+      const failure = transactionLost("the transaction had failed before");
+      return this.#refuse(request, failure);
+    }
+    if (!opening) return this.#malformed(request, "no transaction is open");
+    const opened = await opening;
+    if (opened.isErr()) return this.#refuse(request, opened.error);
+    const route = this.#route!;
+    const outcome = await opened.value.commit(
+      this.#taskOn(request, route),
+      text,
+    );
+    this.#tell(request, outcome);
+  }
+
+  #rollback(): void {
+    this.endTransaction();
+    this.#failed = false;
+    this.#channel.complete("idle");
+  }
+
+  /** What a statement runs, and its effect. */
+  #resolve(
+    statement: CallerStatement & { kind: "read" | "write" | "execute" },
+  ):
+    | {
+      readonly effect: "read" | "write";
+      readonly operation: ReadOperation;
+    }
+    | undefined {
+    if (statement.kind !== "execute") {
+      const operation = { kind: "text", text: statement.text } as const;
+      return { effect: statement.kind, operation: { operation } };
+    }
+    const shape = this.#session.prepared.get(statement.name);
+    if (!shape) return undefined;
+    return {
+      effect: shape.effect,
+      operation: {
+        shape,
+        operation: {
+          kind: "execute",
+          name: preparedName(shape),
+          arguments: statement.arguments,
+        },
+      },
+    };
+  }
+
+  #task(request: CallerRequest): Task | undefined {
+    const route = this.#opening && this.#route ||
+      this.#context.routes.route(this.#database);
+    return route && this.#taskOn(request, route);
+  }
+
+  #taskOn(request: CallerRequest, route: Route): Task {
+    return {
+      context: this.#context,
+      session: this.#session,
+      route,
+      id: request.id,
+      receivedAt: request.receivedAt,
+      deadline: request.receivedAt + route.statementTimeout,
+    };
+  }
+
+  #tell(
+    request: { readonly id: string; readonly receivedAt: number },
+    outcome: Outcome,
+  ): void {
+    if (outcome.kind === "refused") {
+      return this.#refuse(request, outcome.failure);
+    }
+    const { answer } = outcome;
+    this.#channel.answer({ ...answer, state: this.#state });
+  }
+
+  #noRoute(request: CallerRequest): void {
+    this.#refuse(
+      request,
+      createFailure(
+        ResultCodes.DATABASE_UNKNOWN,
+        `no route is named ${this.#database}`,
+      ),
+    );
+  }
+
+  #malformed(request: CallerRequest, reason: string): void {
+    this.#refuse(
+      request,
+      createFailure(ResultCodes.PROTOCOL_MALFORMED, reason),
+    );
+  }
+
+  #refuse(
+    request: { readonly id: string; readonly receivedAt: number },
+    failure: Failure,
+  ): void {
+    this.#context.requests.refused(request, failure, {
+      database: this.#database,
+      version: this.#context.routes.table?.version,
+    });
+    this.#channel.refuse(failure, this.#state);
+  }
+}
--- /dev/null
+++ b/src/plugins/sessions/outcome.ts
@@ -0,0 +1,66 @@
+/**
+ * How a statement ended, and which failures are told for what happened.
+ *
+ * @module
+ */
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
+import type { Answer, Fault } from "../upstream/link.ts";
+
+/** What the caller is to be told. */
+export type Outcome =
+  | { readonly kind: "answered"; readonly answer: Answer }
+  | { readonly kind: "refused"; readonly failure: Failure };
+
+/** Faults with which nothing of the statement has run. */
+const NOT_RUN: ReadonlySet<Fault> = new Set([
+  "busy",
+  "lagging",
+  "read-only",
+  "misrouted",
+  "unknown-statement",
+]);
+
+/** Whether nothing of a statement that ended with this fault has run. */
+export function hasNotRun(fault: Fault): boolean {
+  return NOT_RUN.has(fault);
+}
+
+/** An answer as it came. */
+export function answered(answer: Answer): Outcome {
+  return { kind: "answered", answer };
+}
+
+/** A refusal. */
+export function refused(failure: Failure): Outcome {
+  return { kind: "refused", failure };
+}
+
+/** The failure of a group whose primary is being replaced or not known. */
+export function noPrimary(group: string): Failure {
+  return createFailure(
+    ResultCodes.PRIMARY_ABSENT,
+    `the primary of ${group} is being replaced; retry in 300 ms`,
+  );
+}
+
+/** The failure of a read that no instance could serve in time. */
+export function noInstance(group: string, detail: string): Failure {
+  return createFailure(
+    ResultCodes.READ_UNAVAILABLE,
+    `no instance of ${group} serves the read: ${detail}; retry in 100 ms`,
+  );
+}
+
+/** The failure of a write that was sent and not confirmed. */
+export function unknownOutcome(detail: string): Failure {
+  return createFailure(ResultCodes.OUTCOME_UNKNOWN, detail);
+}
+
+/** The failure of a transaction that was lost before its commit was sent. */
+export function transactionLost(detail: string): Failure {
+  return createFailure(ResultCodes.TRANSACTION_LOST, detail);
+}
--- /dev/null
+++ b/src/plugins/sessions/primary_work.ts
@@ -0,0 +1,87 @@
+/**
+ * What statements at the primary share: waiting for a leader, noting its answers
+ * as samples, and confirming that it still led.
+ *
+ * @module
+ */
+import type { Leader } from "../leadership/group_leadership.ts";
+import type { Answer } from "../upstream/link.ts";
+import type { SessionContext, Task } from "./session_context.ts";
+
+/** Extra time for a confirmation beyond the statement's own time, in ms: an answer that is ready is worth a late delivery. */
+const CONFIRMATION_TIME_MS = 1_500;
+
+/** Notes an answer of the leader; its position is a sample when the reign is confirmed without asking. */
+export function noteLeaderAnswer(
+  context: SessionContext,
+  group: string,
+  leader: Leader,
+  answer: Answer,
+): void {
+  context.succession.heard(group, answer.position?.term);
+  if (!answer.position) return;
+  if (!context.succession.leadership(group).isConfirmed(leader.epoch)) return;
+  context.samples(group).add({ at: answer.sentAt, position: answer.position });
+}
+
+/** Whether an answer that depends on the leader may be passed on. */
+export async function confirmAnswer(
+  task: Task,
+  leader: Leader,
+  answer: Answer,
+): Promise<boolean> {
+  const { context, route, deadline } = task;
+  const leadership = context.succession.leadership(route.group);
+  const until = Math.max(deadline, performance.now()) + CONFIRMATION_TIME_MS;
+  const confirmed = await leadership.confirm(leader, until);
+  if (confirmed && answer.position) {
+    context.samples(route.group)
+      .add({ at: answer.sentAt, position: answer.position });
+  }
+  return confirmed;
+}
+
+/** Samples that are being asked for, by group. */
+const asking = new WeakMap<SessionContext, Map<string, Promise<void>>>();
+
+/** Asks the leader for its position; callers that ask meanwhile share the answer. */
+export function refreshSample(
+  context: SessionContext,
+  group: string,
+  deadline: number,
+): Promise<void> {
+  const groups = asking.get(context) ?? new Map<string, Promise<void>>();
+  asking.set(context, groups);
+  const running = groups.get(group);
+  if (running) return running;
+  const work = askLeader(context, group, deadline)
+    .finally(() => groups.delete(group));
+  groups.set(group, work);
+  return work;
+}
+
+async function askLeader(
+  context: SessionContext,
+  group: string,
+  deadline: number,
+): Promise<void> {
+  const leadership = context.succession.leadership(group);
+  const leader = await leadership.usable(deadline);
+  if (!leader) return;
+  const lent = await context.pools.acquire(leader.instance, "high", deadline);
+  if (lent.isErr()) return;
+  const link = lent.value;
+  const status = await link.status(deadline);
+  link.release();
+  if (status.isErr()) {
+    if (status.error.silent) context.succession.failed(group, leader.instance);
+    return;
+  }
+  if (status.value.role !== "primary") return;
+  context.succession.heard(group, status.value.term);
+  if (!await leadership.confirm(leader, deadline)) return;
+  context.samples(group).add({
+    at: status.value.sentAt,
+    position: status.value.received,
+  });
+}
--- /dev/null
+++ b/src/plugins/sessions/transaction.ts
@@ -0,0 +1,266 @@
+/**
+ * An open transaction of a session: one connection from its begin to its end.
+ *
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { Failure } from "../../kernel/result_codes.ts";
+import type { Leader } from "../leadership/group_leadership.ts";
+import type { Answer, UpstreamLink } from "../upstream/link.ts";
+import type { Position } from "../upstream/position.ts";
+import { prepareLink } from "./link_preparation.ts";
+import {
+  answered,
+  noInstance,
+  noPrimary,
+  type Outcome,
+  refused,
+  transactionLost,
+  unknownOutcome,
+} from "./outcome.ts";
+import { confirmAnswer, noteLeaderAnswer } from "./primary_work.ts";
+import { type ReadOperation, requirePosition } from "./read_run.ts";
+import type { Task } from "./session_context.ts";
+
+/** Pause before another attempt to open a transaction, in ms. */
+const REPEAT_PAUSE_MS = 25;
+
+/** Time for the rollback of a transaction that its caller has given up, in ms. */
+const ROLLBACK_TIMEOUT_MS = 2_000;
+
+/** Time for the instance to answer a commit beyond the statement's own time, in ms: cutting it short only makes the outcome unknown. */
+const COMMIT_EXTRA_MS = 500;
+
+/** Opens transactions and runs their statements. */
+export class Transaction {
+  readonly #link: UpstreamLink;
+  readonly #leader: Leader | undefined;
+  readonly #leave: () => void;
+  #ended = false;
+  #wrote = false;
+  #confirmed = false;
+
+  private constructor(
+    link: UpstreamLink,
+    leader: Leader | undefined,
+    leave: () => void,
+  ) {
+    this.#link = link;
+    this.#leader = leader;
+    this.#leave = leave;
+  }
+
+  /** The instance that runs it. */
+  get instance(): string {
+    return this.#link.instance;
+  }
+
+  /** Opens one: at the primary, or for reads alone at any instance that shows enough. */
+  static async open(
+    task: Task,
+    readOnly: boolean,
+  ): Promise<Result<Transaction, Failure>> {
+    const anywhere = readOnly && task.route.consistency !== "primary";
+    const excluded = new Set<string>();
+    let failure = noPrimary(task.route.group);
+    while (performance.now() < task.deadline) {
+      const opened = anywhere
+        ? await Transaction.#openAnywhere(task, excluded)
+        : await Transaction.#openAtPrimary(task, readOnly);
+      if (opened.isOk()) return opened;
+      failure = opened.error;
+      await new Promise((resolve) => setTimeout(resolve, REPEAT_PAUSE_MS));
+    }
+    return err(failure);
+  }
+
+  static async #openAtPrimary(
+    task: Task,
+    readOnly: boolean,
+  ): Promise<Result<Transaction, Failure>> {
+    const { context, route, deadline } = task;
+    const leadership = context.succession.leadership(route.group);
+    const leader = await leadership.usable(deadline);
+    if (!leader) return err(noPrimary(route.group));
+    const leave = leadership.enter();
+    const begun = await Transaction.#begin(task, leader.instance, readOnly);
+    if (begun.isErr()) {
+      leave();
+      return err(begun.error);
+    }
+    const { link, answer } = begun.value;
+    noteLeaderAnswer(context, route.group, leader, answer);
+    return ok(new Transaction(link, leader, leave));
+  }
+
+  static async #openAnywhere(
+    task: Task,
+    excluded: Set<string>,
+  ): Promise<Result<Transaction, Failure>> {
+    const { context, route } = task;
+    const position = await requirePosition(task);
+    if (!position) return err(noInstance(route.group, "no fresh position"));
+    const instance = context.placement.choose({
+      group: route.group,
+      position,
+      primary: context.succession.leadership(route.group).primary,
+      excluded,
+    });
+    if (!instance) {
+      excluded.clear();
+      return err(noInstance(route.group, "all were tried"));
+    }
+    excluded.add(instance);
+    const begun = await Transaction.#begin(task, instance, true, position);
+    if (begun.isErr()) return err(begun.error);
+    context.placement.answered(instance, begun.value.answer.position);
+    return ok(new Transaction(begun.value.link, undefined, () => {}));
+  }
+
+  static async #begin(
+    task: Task,
+    instance: string,
+    readOnly: boolean,
+    after?: Position,
+  ): Promise<
+    Result<{ readonly link: UpstreamLink; readonly answer: Answer }, Failure>
+  > {
+    const { context, route, deadline, session } = task;
+    const { placement } = context;
+    const lent = await context.pools.acquire(
+      instance,
+      route.priority,
+      deadline,
+    );
+    if (lent.isErr()) {
+      placement.failed(instance);
+      context.requests.attempt(task, instance, lent.error.message, {});
+      return err(lent.error);
+    }
+    const link = lent.value;
+    prepareLink(link, session, undefined, deadline);
+    const result = await link.begin({ readOnly, after }, deadline);
+    if (result.isErr()) {
+      placement.failed(instance);
+      context.succession.failed(route.group, instance);
+      context.requests.attempt(task, instance, result.error.reason, {});
+      return err(noInstance(route.group, result.error.reason));
+    }
+    const answer = result.value;
+    if (!answer.fault && answer.state === "open") return ok({ link, answer });
+    if (answer.state === "idle") link.release();
+    else link.destroy();
+    if (answer.fault === "lagging") placement.lagged(instance);
+    const reason = answer.fault ?? "the transaction is not open";
+    context.requests.attempt(task, instance, reason, {});
+    return err(noInstance(route.group, reason));
+  }
+
+  /** Runs a statement of it. */
+  async run(
+    task: Task,
+    statement: ReadOperation,
+    effect: "read" | "write",
+  ): Promise<Outcome> {
+    const { context, route, deadline } = task;
+    prepareLink(this.#link, task.session, statement.shape, deadline);
+    const result = await this.#link.run(
+      { id: task.id, operation: statement.operation },
+      deadline,
+    );
+    if (result.isErr()) return this.#lost(task, result.error.reason);
+    const answer = result.value;
+    this.#note(task, answer);
+    if (answer.state === "idle") {
+      this.abandon();
+      return refused(transactionLost("the instance ended the transaction"));
+    }
+    if (answer.fault) return answered(answer);
+    if (effect === "write") this.#wrote = true;
+    else if (this.#leader && !this.#confirmed) {
+      if (!await confirmAnswer(task, this.#leader, answer)) {
+        this.abandon();
+        return refused(transactionLost("the primary was replaced"));
+      }
+      this.#confirmed = true;
+    }
+    context.requests.served(task, `transaction ${effect}`, () => ({
+      group: route.group,
+      instance: this.instance,
+    }));
+    return answered(answer);
+  }
+
+  /** Commits it. */
+  async commit(task: Task, text: string): Promise<Outcome> {
+    const until = Math.max(task.deadline, performance.now()) + COMMIT_EXTRA_MS;
+    const result = await this.#link.run(
+      { id: task.id, operation: { kind: "text", text } },
+      until,
+    );
+    if (result.isErr()) {
+      const { reason } = result.error;
+      if (!this.#wrote) return this.#lost(task, reason);
+      this.#fail(task);
+      return refused(unknownOutcome(
+        `${this.instance} gave no answer to the commit: ${reason}`,
+      ));
+    }
+    const answer = result.value;
+    this.#note(task, answer);
+    const leader = this.#leader;
+    const wrote = this.#wrote;
+    this.#end(answer.state === "idle");
+    if (answer.fault) return answered(answer);
+    if (leader && wrote && !await confirmAnswer(task, leader, answer)) {
+      return refused(unknownOutcome(
+        `${this.instance} was replaced while it committed`,
+      ));
+    }
+    if (wrote) task.session.wrote(answer.position);
+    task.context.requests.served(task, "commit", () => ({
+      group: task.route.group,
+      instance: this.instance,
+      wrote,
+    }));
+    return answered(answer);
+  }
+
+  /** Ends it without effect, in the background. */
+  abandon(): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    const deadline = performance.now() + ROLLBACK_TIMEOUT_MS;
+    void this.#link.rollback(deadline).then((result) => {
+      const idle = result.isOk() && result.value.state === "idle";
+      if (idle) this.#link.release();
+      else this.#link.destroy();
+      this.#leave();
+    });
+  }
+
+  #note(task: Task, answer: Answer): void {
+    if (!this.#leader) return;
+    noteLeaderAnswer(task.context, task.route.group, this.#leader, answer);
+  }
+
+  #lost(task: Task, reason: string): Outcome {
+    this.#fail(task);
+    return refused(transactionLost(
+      `the connection to ${this.instance} was lost before the commit: ${reason}`,
+    ));
+  }
+
+  #fail(task: Task): void {
+    task.context.succession.failed(task.route.group, this.instance);
+    this.#end(false);
+  }
+
+  #end(idle: boolean): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    if (idle) this.#link.release();
+    else this.#link.destroy();
+    this.#leave();
+  }
+}
