--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -84,6 +84,7 @@
   CONNECTION_REFUSED: event(603, "connection-refused", "warn"),
   SHARE_CHANGED: event(604, "share-changed", "info"),
   LOAD_SHED: event(605, "load-shed", "warn"),
+  CONNECTIONS_SCARCE: event(606, "connections-scarce", "info"),
 } as const satisfies Record<string, EventKind>;
 
 /** Fields of a log line besides its event. */
--- a/src/plugins/connections/upstream_pools.ts
+++ b/src/plugins/connections/upstream_pools.ts
@@ -15,16 +15,19 @@
   ListedInstance,
 } from "../deployment/instance_directory.ts";
 import type { RoutesInForce } from "../deployment/routes.ts";
-import type { UpstreamLink } from "../upstream/link.ts";
+import type { LinkResult, UpstreamLink } from "../upstream/link.ts";
 import type { Priority } from "./connections.ts";
 import { DEMAND_SAMPLE_MS } from "./demand_meter.ts";
 import { InstancePool } from "./instance_pool.ts";
+import { type Leave, TransactionLimit } from "./transaction_limit.ts";
 import type { MemberFactory } from "./pool_member.ts";
 
 /** Opens connections to instances. */
 export interface InstanceConnector {
+  /** Opens one within the time, in ms, or the connector's own. */
   open(
     instance: ListedInstance,
+    timeout?: number,
   ): ResultAsync<MemberFactory<UpstreamLink>, Failure>;
 }
 
@@ -41,16 +44,20 @@
 }
 
 /** Part of an instance's connections that the shares add up to; the rest is for probes and for proxies that join. */
-const SHARED_PART = 0.9;
+const SHARED_PART = 1.2;
 
 /** Fewest connections of a proxy to an instance. */
 const SHARE_LEAST = 2;
 
+/** Least time between two reports of an instance whose connections are scarce, in ms. */
+const REPORT_INTERVAL_MS = 500;
+
 /** Statements that may wait for a connection to one instance. */
 const QUEUE_LENGTH = 400;
 
 interface Entry {
   readonly pool: InstancePool<UpstreamLink>;
+  readonly transactions: TransactionLimit;
   readonly instance: ListedInstance;
 }
 
@@ -58,6 +65,8 @@
 export class UpstreamPools {
   readonly #options: UpstreamPoolsOptions;
   readonly #entries = new Map<string, Entry>();
+  /** Monotonic ms of the last report, by instance. */
+  readonly #reportedAt = new Map<string, number>();
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: UpstreamPoolsOptions) {
@@ -97,6 +106,15 @@
     return entry.pool.acquire({ database, instance, priority, deadline });
   }
 
+  /** Takes a place for a transaction at an instance; undefined at the deadline (monotonic ms) or when it is not listed. */
+  async enterTransaction(
+    id: string,
+    priority: Priority,
+    deadline: number,
+  ): Promise<Leave | undefined> {
+    return await this.#entry(id)?.transactions.enter(priority, deadline);
+  }
+
   /** Connections of an instance in use and waited for by this proxy. */
   outstanding(id: string): number {
     return this.#entries.get(id)?.pool.load ?? 0;
@@ -146,8 +164,9 @@
       open: () => connector.open(instance),
       onFailure: () => onFailure(instance),
     });
-    pool.setShare(this.#share(instance.group));
-    return { pool, instance };
+    const share = this.#share(instance.group);
+    pool.setShare(share);
+    return { pool, instance, transactions: new TransactionLimit(share) };
   }
 
   #share(group: string): number {
@@ -166,12 +185,30 @@
       });
       this.forget(id);
     }
-    for (const { pool, instance } of this.#entries.values()) {
+    for (const { pool, transactions, instance } of this.#entries.values()) {
       const share = this.#share(instance.group);
-      if (share !== pool.use.share) pool.setShare(share);
+      if (share !== pool.use.share) {
+        pool.setShare(share);
+        transactions.setShare(share);
+      }
       pool.maintain(now);
+      this.#reportScarcity(pool, now);
     }
   }
+
+  /** Logs what is held of an instance while statements wait for it. */
+  #reportScarcity(pool: InstancePool<UpstreamLink>, now: number): void {
+    const { instance, database, ...use } = pool.use;
+    if (use.waiting === 0) return;
+    const last = this.#reportedAt.get(instance) ?? -Infinity;
+    if (now - last < REPORT_INTERVAL_MS) return;
+    this.#reportedAt.set(instance, now);
+    this.#options.log.write(Events.CONNECTIONS_SCARCE, {
+      group: database,
+      instance,
+      ...use,
+    });
+  }
 }
 
 function isSameLife(a: ListedInstance, b: ListedInstance): boolean {
@@ -183,11 +220,11 @@
   pools: UpstreamPools,
   id: string,
   deadline: number,
-  work: (link: UpstreamLink) => Promise<Result<T, { readonly reason: string }>>,
+  work: (link: UpstreamLink) => LinkResult<T>,
 ): Promise<Result<T, { readonly reason: string }>> {
   const lent = await pools.acquire(id, "high", deadline);
   if (lent.isErr()) return err({ reason: lent.error.message });
   const outcome = await work(lent.value);
-  lent.value.release();
+  if (outcome.isOk() || !outcome.error.silent) lent.value.release();
   return outcome;
 }
--- a/src/plugins/freshness/primary_samples.ts
+++ b/src/plugins/freshness/primary_samples.ts
@@ -50,14 +50,7 @@
 
   /** The lowest position that covers all that was acknowledged before a time; undefined when no sample is that young. */
   covering(time: number): Position | undefined {
-    let low = 0;
-    let high = this.#samples.length;
-    while (low < high) {
-      const middle = (low + high) >>> 1;
-      if (this.#samples[middle]!.at < time) low = middle + 1;
-      else high = middle;
-    }
-    return this.#samples[low]?.position;
+    return this.#first((sample) => sample.at >= time)?.position;
   }
 
   /**
@@ -72,14 +65,29 @@
     return laterPosition(shared, own);
   }
 
-  /** How old, in ms, data that end at a position may be; Infinity when that is not known. */
-  age(position: Position, now: number): number {
-    for (let index = this.#samples.length - 1; index >= 0; index -= 1) {
-      const sample = this.#samples[index]!;
-      if (comparePositions(sample.position, position) <= 0) {
-        return now - sample.at;
-      }
+  /** Monotonic ms at which the primary was first seen at a position or beyond; Infinity when it was not. */
+  reachedAt(position: Position): number {
+    return this.#first((sample) =>
+      comparePositions(sample.position, position) >= 0
+    )?.at ?? Infinity;
+  }
+
+  /** Monotonic ms at which the primary was first seen beyond a position; undefined when it was not. */
+  passedAt(position: Position): number | undefined {
+    return this.#first((sample) =>
+      comparePositions(sample.position, position) > 0
+    )?.at;
+  }
+
+  /** The oldest sample for which a test holds that holds for all after it. */
+  #first(test: (sample: PrimarySample) => boolean): PrimarySample | undefined {
+    let low = 0;
+    let high = this.#samples.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      if (test(this.#samples[middle]!)) high = middle;
+      else low = middle + 1;
     }
-    return Infinity;
+    return this.#samples[low];
   }
 }
--- a/src/plugins/leadership/group_leadership.ts
+++ b/src/plugins/leadership/group_leadership.ts
@@ -48,12 +48,17 @@
   readonly coordination: Coordination;
   readonly directory: InstanceDirectory;
   readonly rounds: StatusRounds;
+  /** Ends the statements at a primary that counts as dead. */
+  readonly abandon: (instance: string) => void;
   readonly log: EventLog;
 }
 
 /** How long a heeded planned change lets running work go on, in ms; below the lease. */
 const PLANNED_PATIENCE_MS = 1_200;
 
+/** An answer of the primary older than this, in ms, does not speak against its death. */
+export const HEARD_WITHIN_MS = 400;
+
 /** How long without a confirmation before status rounds are begun, in ms; a store that is merely slow answers within it. */
 const ROUND_AFTER_MS = 150;
 
@@ -255,6 +260,10 @@
     const heardAgo = this.#heardAt === -Infinity
       ? null
       : Math.round(now - this.#heardAt);
+    const silent = heardAgo === null || heardAgo > HEARD_WITHIN_MS;
+    if (!record.value.planned && silent) {
+      this.#options.abandon(record.value.primary);
+    }
     void this.#acknowledge(record.version, heardAgo);
   }
 
--- a/src/plugins/leadership/primary_change.ts
+++ b/src/plugins/leadership/primary_change.ts
@@ -17,7 +17,7 @@
   InstanceDirectory,
   ListedInstance,
 } from "../deployment/instance_directory.ts";
-import type { LinkStatus } from "../upstream/link.ts";
+import type { LinkResult, LinkStatus, UpstreamLink } from "../upstream/link.ts";
 import { comparePositions, formatPosition } from "../upstream/position.ts";
 import type {
   Coordination,
@@ -26,6 +26,7 @@
 } from "./coordination.ts";
 import {
   type GroupLeadership,
+  HEARD_WITHIN_MS,
   LEASE_EXPIRY_WAIT_MS,
 } from "./group_leadership.ts";
 
@@ -47,9 +48,6 @@
 /** How long a candidate of a planned change may take to receive the rest of the log, in ms. */
 const CATCH_UP_MS = 1_500;
 
-/** Another proxy's answer from the old primary this young, in ms, shows that it lives. */
-const ALIVE_WITHIN_MS = 600;
-
 /** First look at an instance that was ordered to lead, in ms; the fastest users' databases take 300 ms. */
 const FIRST_LOOK_MS = 200;
 
@@ -194,7 +192,7 @@
       if (name === proxy) return false;
       const heeded = coordination.acknowledgement(leadership.group, name);
       if (heeded?.version !== this.#version) return false;
-      return heeded.heardAgo !== null && heeded.heardAgo < ALIVE_WITHIN_MS;
+      return heeded.heardAgo !== null && heeded.heardAgo < HEARD_WITHIN_MS;
     });
     if (!witness) return false;
     this.#write(Events.FAILOVER_WITHHELD, { witness });
@@ -375,10 +373,7 @@
 
   async #ask(
     instance: ListedInstance,
-    work: (
-      link: Parameters<Parameters<typeof withLink<LinkStatus>>[3]>[0],
-      deadline: number,
-    ) => Promise<Result<LinkStatus, { readonly reason: string }>>,
+    work: (link: UpstreamLink, deadline: number) => LinkResult<LinkStatus>,
   ): Promise<Result<LinkStatus, { readonly reason: string }>> {
     const deadline = performance.now() + STATUS_TIMEOUT_MS;
     return await withLink(
--- a/src/plugins/leadership/succession.ts
+++ b/src/plugins/leadership/succession.ts
@@ -20,8 +20,8 @@
 /** Time between two looks at all groups, in ms. */
 const LOOK_INTERVAL_MS = 100;
 
-/** A probe without an answer counts as silence after this, in ms; a full queue of an instance answers faster. */
-const PROBE_TIMEOUT_MS = 700;
+/** A probe without an answer counts as silence after this, in ms: two crossings between regions, an opening and a short queue. */
+const PROBE_TIMEOUT_MS = 350;
 
 /** Head start of the proxy that ordered the last change of a group, in ms, so that holders do not take turns. */
 const HOLDER_LEAD_MS = 400;
@@ -86,6 +86,12 @@
     return this.#group(name).leadership;
   }
 
+  /** Notes that a statement is sent to an instance; matters for a primary. */
+  asked(name: string, instance: string): void {
+    const group = this.#group(name);
+    if (group.leadership.primary === instance) group.doubt.asked();
+  }
+
   /** Notes an answer of a group's leader. */
   heard(name: string, term: number | undefined): void {
     const group = this.#group(name);
@@ -101,20 +107,21 @@
     void group.doubt.raise();
   }
 
-  /** Whether the primary of a group counts as dead. */
-  isDead(name: string): boolean {
-    return this.#group(name).doubt.dead !== undefined;
+  /** Whether the primary of a group counts as dead or has been silent for long. */
+  isDoubted(name: string): boolean {
+    return this.#group(name).doubt.pressing;
   }
 
   #group(name: string): Group {
     const known = this.#groups.get(name);
     if (known) return known;
-    const { coordination, directory, rounds, log } = this.#options;
+    const { coordination, directory, rounds, pools, log } = this.#options;
     const leadership = new GroupLeadership({
       group: name,
       coordination,
       directory,
       rounds,
+      abandon: (instance) => pools.destroyBusy(instance),
       log,
     });
     const group: Group = {
@@ -150,6 +157,7 @@
     for (const name of table.groups.keys()) {
       const group = this.#group(name);
       this.#watchPrimary(group);
+      void group.doubt.look();
       const reason = this.#reasonToChange(group);
       if (!reason) {
         group.neededSince = undefined;
@@ -255,13 +263,13 @@
     instance: Parameters<InstanceConnector["open"]>[0],
     begun: number,
   ): Promise<Result<void, "refused" | "silent">> {
-    const opened = await connector.open(instance);
+    const opened = await connector.open(instance, PROBE_TIMEOUT_MS);
     if (opened.isErr()) {
       const { code } = opened.error;
       // Too many connections, or no slot for one more: it lives.
       if (code === ResultCodes.UPSTREAM_REFUSED) return ok(undefined);
       const elapsed = performance.now() - begun;
-      return err(elapsed < PROBE_TIMEOUT_MS / 2 ? "refused" : "silent");
+      return err(elapsed < PROBE_TIMEOUT_MS ? "refused" : "silent");
     }
     const link = opened.value({ released: () => {}, closed: () => {} });
     const status = await link.status(begun + PROBE_TIMEOUT_MS);
--- a/src/plugins/placement/read_placement.ts
+++ b/src/plugins/placement/read_placement.ts
@@ -1,7 +1,7 @@
 /**
  * Where a read runs. Load that it answers: many short reads against few slots
- * per instance, replicas that lag by more than a read may show, and links
- * between regions that are slow and dear.
+ * per instance, replicas that lag by more than a read may show, instances that
+ * are gone but still listed, and links between regions that are slow and dear.
  *
  * @module
  */
@@ -10,6 +10,7 @@
   InstanceDirectory,
   ListedInstance,
 } from "../deployment/instance_directory.ts";
+import type { PrimarySamples } from "../freshness/primary_samples.ts";
 import { comparePositions, type Position } from "../upstream/position.ts";
 
 /** Where this proxy is. */
@@ -25,27 +26,30 @@
 /** Cost of another region, in ms of waiting: the way there and back, and its price. */
 const REGION_COST_MS = 60;
 
-/** Cost of the primary: its slots are for what only it can do. */
+/** Cost of the primary, in ms of waiting: its slots are for what only it can do. */
 const PRIMARY_COST_MS = 30;
 
 /** Cost of one statement of this proxy that is ahead at the instance, in ms: a usual read over the slots. */
 const OUTSTANDING_COST_MS = 8;
 
-/** How long an instance that lagged is passed over at first, in ms; doubled while it goes on. */
-const LAG_PAUSE_MS = 100;
-const LAG_PAUSE_MAX_MS = 800;
+/** A replica that needs longer than this, in ms, to reach a position is passed over. */
+const LONGEST_CATCH_UP_MS = 400;
 
-/** How long an instance that failed a read is passed over, in ms. */
+/** Weight of an answer in the smoothed lag. */
+const LAG_WEIGHT = 0.2;
+
+/** A replica that lacked a position is expected to have it this much later, in ms. */
+const LAG_STEP_MS = 15;
+
+/** How long an instance that failed a read is passed over at first, in ms; doubled while it goes on. */
 const FAILURE_PAUSE_MS = 250;
 const FAILURE_PAUSE_MAX_MS = 2_000;
 
-/** Cost of an instance that lagged or failed a moment ago, in ms: it is taken only when all others are busy. */
-const AVOIDED_COST_MS = 400;
-
 interface Observation {
   /** Position that the instance's data have shown. */
   shown?: Position;
-  lagPause: number;
+  /** Smoothed time, in ms, by which its data are behind the primary. */
+  lag: number;
   failurePause: number;
   avoidUntil: number;
 }
@@ -54,19 +58,30 @@
 export interface PlacementRequest {
   readonly group: string;
   readonly position: Position;
+  readonly samples: PrimarySamples;
+  /** The primary, listed among the instances. */
   readonly primary: string | undefined;
+  /** Whether the primary may be used now. */
+  readonly primaryUsable: boolean;
   readonly excluded: ReadonlySet<string>;
 }
 
-/** Chooses instances by distance, load and what they have shown. */
+/** Where to run the read, and how long to wait before. */
+export interface Placement {
+  readonly instance: string;
+  /** Time, in ms, in which the instance is expected to reach the position. */
+  readonly wait: number;
+}
+
+/** Chooses instances by distance, load and lag. */
 export class ReadPlacement {
-  readonly #directory: InstanceDirectory;
+  readonly #directory: Pick<InstanceDirectory, "group">;
   readonly #pools: Pick<UpstreamPools, "outstanding">;
   readonly #place: Place;
   readonly #observations = new Map<string, Observation>();
 
   constructor(
-    directory: InstanceDirectory,
+    directory: Pick<InstanceDirectory, "group">,
     pools: Pick<UpstreamPools, "outstanding">,
     place: Place,
   ) {
@@ -75,37 +90,62 @@
     this.#place = place;
   }
 
-  /** The best instance; undefined when none may be tried. */
-  choose(request: PlacementRequest): string | undefined {
-    const now = performance.now();
-    let best: string | undefined;
+  /** The best instance; undefined when none may be tried now. */
+  choose(
+    request: PlacementRequest,
+    now = performance.now(),
+  ): Placement | undefined {
+    let best: Placement | undefined;
     let bestCost = Infinity;
     for (const instance of this.#directory.group(request.group)) {
-      if (request.excluded.has(instance.id)) continue;
-      const isPrimary = instance.id === request.primary;
-      if (instance.leaving && !isPrimary) continue;
-      const cost = this.#cost(instance, request, isPrimary, now);
+      if (!this.#isUsable(instance, request, now)) continue;
+      const wait = this.#catchUp(instance.id, request, now);
+      if (wait > LONGEST_CATCH_UP_MS) continue;
+      const cost = this.#cost(instance, request) + wait;
       if (cost >= bestCost) continue;
-      best = instance.id;
+      best = { instance: instance.id, wait };
       bestCost = cost;
     }
+    if (best) this.#noteTrial(best.instance, now);
     return best;
   }
 
-  /** Notes an answer. */
-  answered(id: string, position: Position | undefined): void {
+  /** An instance that failed gets one read; the others pass it over until that one is answered. */
+  #noteTrial(id: string, now: number): void {
+    const observation = this.#observations.get(id);
+    if (!observation || observation.avoidUntil === -Infinity) return;
+    observation.avoidUntil = now + observation.failurePause;
+  }
+
+  /** Notes an answer and the position that it showed. */
+  answered(
+    id: string,
+    position: Position | undefined,
+    samples: PrimarySamples,
+    now = performance.now(),
+  ): void {
     const observation = this.#observation(id);
-    if (position) observation.shown = position;
-    observation.lagPause = LAG_PAUSE_MS;
     observation.failurePause = FAILURE_PAUSE_MS;
     observation.avoidUntil = -Infinity;
+    if (!position) return;
+    observation.shown = position;
+    const passedAt = samples.passedAt(position);
+    const lag = passedAt === undefined ? 0 : now - passedAt;
+    observation.lag += LAG_WEIGHT * (lag - observation.lag);
   }
 
   /** Notes that the instance's data did not show a position. */
-  lagged(id: string, now = performance.now()): void {
+  lagged(
+    id: string,
+    position: Position,
+    samples: PrimarySamples,
+    now = performance.now(),
+  ): void {
+    const reachedAt = samples.reachedAt(position);
+    const behind = reachedAt === Infinity ? 0 : now - reachedAt;
     const observation = this.#observation(id);
-    observation.avoidUntil = now + observation.lagPause;
-    observation.lagPause = Math.min(LAG_PAUSE_MAX_MS, 2 * observation.lagPause);
+    observation.shown = undefined;
+    observation.lag = Math.max(observation.lag, behind) + LAG_STEP_MS;
   }
 
   /** Notes that the instance could not be reached, failed or gave no answer. */
@@ -118,21 +158,36 @@
     );
   }
 
-  #cost(
+  #isUsable(
     instance: ListedInstance,
     request: PlacementRequest,
-    isPrimary: boolean,
     now: number,
-  ): number {
-    const observation = this.#observations.get(instance.id);
-    let cost = this.#distance(instance.zone) +
+  ): boolean {
+    if (request.excluded.has(instance.id)) return false;
+    if (instance.id === request.primary) return request.primaryUsable;
+    if (instance.leaving) return false;
+    const avoidUntil = this.#observations.get(instance.id)?.avoidUntil;
+    return avoidUntil === undefined || avoidUntil <= now;
+  }
+
+  /** Time in which a replica is expected to reach the position, in ms. */
+  #catchUp(id: string, request: PlacementRequest, now: number): number {
+    if (id === request.primary) return 0;
+    const { position, samples } = request;
+    const observation = this.#observations.get(id);
+    if (!observation) return 0;
+    const { shown, lag } = observation;
+    if (shown && comparePositions(shown, position) >= 0) return 0;
+    const reachedAt = samples.reachedAt(position);
+    // A position that no sample shows yet is one of the session's own, just written.
+    const since = reachedAt === Infinity ? now : reachedAt;
+    return Math.max(0, since + lag - now);
+  }
+
+  #cost(instance: ListedInstance, request: PlacementRequest): number {
+    const cost = this.#distance(instance.zone) +
       OUTSTANDING_COST_MS * this.#pools.outstanding(instance.id);
-    if (isPrimary) return cost + PRIMARY_COST_MS;
-    const shown = observation?.shown;
-    const known = shown && comparePositions(shown, request.position) >= 0;
-    const avoided = observation && observation.avoidUntil > now;
-    if (avoided && !known) cost += AVOIDED_COST_MS;
-    return cost;
+    return instance.id === request.primary ? cost + PRIMARY_COST_MS : cost;
   }
 
   #distance(zone: string): number {
@@ -146,7 +201,7 @@
     const known = this.#observations.get(id);
     if (known) return known;
     const observation: Observation = {
-      lagPause: LAG_PAUSE_MS,
+      lag: 0,
       failurePause: FAILURE_PAUSE_MS,
       avoidUntil: -Infinity,
     };
--- a/src/plugins/sessions/outcome.ts
+++ b/src/plugins/sessions/outcome.ts
@@ -55,6 +55,14 @@
   );
 }
 
+/** The failure of a transaction for which an instance had no connection in time. */
+export function noPlace(group: string, instance: string): Failure {
+  return createFailure(
+    ResultCodes.QUEUE_DEADLINE,
+    `no connection of ${instance} for a transaction on ${group}; retry in 200 ms`,
+  );
+}
+
 /** The failure of a write that was sent and not confirmed. */
 export function unknownOutcome(detail: string): Failure {
   return createFailure(ResultCodes.OUTCOME_UNKNOWN, detail);
--- a/src/plugins/sessions/primary_work.ts
+++ b/src/plugins/sessions/primary_work.ts
@@ -5,7 +5,9 @@
  * @module
  */
 import type { Leader } from "../leadership/group_leadership.ts";
+import type { Placement } from "../placement/read_placement.ts";
 import type { Answer } from "../upstream/link.ts";
+import type { Position } from "../upstream/position.ts";
 import type { SessionContext, Task } from "./session_context.ts";
 
 /** Extra time for a confirmation beyond the statement's own time, in ms: an answer that is ready is worth a late delivery. */
@@ -41,6 +43,25 @@
   return confirmed;
 }
 
+/** Where a read of a task may run. */
+export function placeRead(
+  { context, route }: Task,
+  position: Position,
+  excluded: ReadonlySet<string>,
+): Placement | undefined {
+  const { succession, placement } = context;
+  const leadership = succession.leadership(route.group);
+  return placement.choose({
+    group: route.group,
+    position,
+    samples: context.samples(route.group),
+    primary: leadership.primary,
+    primaryUsable: leadership.current() !== undefined &&
+      !succession.isDoubted(route.group),
+    excluded,
+  });
+}
+
 /** Samples that are being asked for, by group. */
 const asking = new WeakMap<SessionContext, Map<string, Promise<void>>>();
 
@@ -71,12 +92,14 @@
   const lent = await context.pools.acquire(leader.instance, "high", deadline);
   if (lent.isErr()) return;
   const link = lent.value;
+  context.succession.asked(group, leader.instance);
   const status = await link.status(deadline);
-  link.release();
   if (status.isErr()) {
-    if (status.error.silent) context.succession.failed(group, leader.instance);
+    if (!status.error.silent) link.release();
+    context.succession.failed(group, leader.instance);
     return;
   }
+  link.release();
   if (status.value.role !== "primary") return;
   context.succession.heard(group, status.value.term);
   if (!await leadership.confirm(leader, deadline)) return;
--- a/src/plugins/sessions/read_run.ts
+++ b/src/plugins/sessions/read_run.ts
@@ -5,7 +5,12 @@
  * @module
  */
 import type { Leader } from "../leadership/group_leadership.ts";
-import type { Answer, LinkOperation, PreparedShape } from "../upstream/link.ts";
+import type {
+  Answer,
+  LinkOperation,
+  LinkResult,
+  PreparedShape,
+} from "../upstream/link.ts";
 import { formatPosition, type Position } from "../upstream/position.ts";
 import { prepareLink } from "./link_preparation.ts";
 import {
@@ -18,15 +23,17 @@
 import {
   confirmAnswer,
   noteLeaderAnswer,
+  placeRead,
   refreshSample,
 } from "./primary_work.ts";
-import type { Task } from "./session_context.ts";
+import type { SessionState, Task } from "./session_context.ts";
 
 /** Part of a route's greatest age after which a new sample is asked for ahead of need. */
 const REFRESH_PART = 0.6;
 
-/** Pause before instances that lagged or were full are tried again, in ms. */
+/** Pause before instances that lagged or were full are tried again, in ms; doubled while it goes on. */
 const REPEAT_PAUSE_MS = 25;
+const REPEAT_PAUSE_MAX_MS = 200;
 
 /** Time left below which a read is not begun again, in ms. */
 const LEAST_TIME_MS = 5;
@@ -81,39 +88,34 @@
   task: Task,
   read: ReadOperation,
 ): Promise<Outcome> {
-  const { context, route, deadline } = task;
+  const { route, deadline } = task;
   const excluded = new Set<string>();
   let reason = "no young enough position of the primary is known";
+  let repeatPause = REPEAT_PAUSE_MS;
   while (performance.now() < deadline - LEAST_TIME_MS) {
     const position = await requirePosition(task);
     if (!position) break;
-    const leadership = context.succession.leadership(route.group);
-    const instance = context.placement.choose({
-      group: route.group,
-      position,
-      primary: leadership.primary,
-      excluded,
-    });
-    if (!instance) {
+    const place = placeRead(task, position, excluded);
+    if (!place) {
       excluded.clear();
-      await pause(REPEAT_PAUSE_MS);
+      await pause(repeatPause);
+      repeatPause = Math.min(REPEAT_PAUSE_MAX_MS, 2 * repeatPause);
       continue;
     }
+    const { instance, wait } = place;
     excluded.add(instance);
+    if (wait > 0) await pause(wait);
+    const race = { won: false };
     const attempt = await hedge(
-      attemptRead(task, read, instance, position),
+      attemptRead(task, read, instance, position, race),
       () => {
-        const other = context.placement.choose({
-          group: route.group,
-          position,
-          primary: leadership.primary,
-          excluded,
-        });
+        const other = placeRead(task, position, excluded);
         if (!other) return undefined;
-        excluded.add(other);
-        return attemptRead(task, read, other, position);
+        excluded.add(other.instance);
+        return attemptRead(task, read, other.instance, position, race);
       },
     );
+    race.won = true;
     if (attempt.kind === "answered") return answered(attempt.answer);
     reason = attempt.reason;
   }
@@ -143,6 +145,8 @@
   read: ReadOperation,
   instance: string,
   position: Position,
+  /** Whether another attempt of the same read has ended it. */
+  race: { readonly won: boolean },
 ): Promise<Attempt> {
   const { context, route, session, deadline } = task;
   const leadership = context.succession.leadership(route.group);
@@ -153,10 +157,18 @@
     return giveUp(task, instance, lent.error.message, position);
   }
   const link = lent.value;
+  if (race.won) {
+    link.release();
+    return { kind: "again", reason: "answered elsewhere" };
+  }
+  context.succession.asked(route.group, instance);
   prepareLink(link, session, read.shape, deadline);
-  const result = await link.run(
-    { id: task.id, operation: read.operation, after: position },
-    deadline,
+  const result = await runTracked(
+    session,
+    link.run(
+      { id: task.id, operation: read.operation, after: position },
+      deadline,
+    ),
   );
   if (result.isErr()) {
     context.placement.failed(instance);
@@ -169,14 +181,16 @@
     noteLeaderAnswer(context, route.group, leader, answer);
   }
   if (answer.fault === "lagging") {
-    context.placement.lagged(instance);
+    const samples = context.samples(route.group);
+    context.placement.lagged(instance, position, samples);
     return giveUp(task, instance, "lagging", position);
   }
   if (answer.fault) {
     context.placement.failed(instance);
     return giveUp(task, instance, answer.fault, position);
   }
-  context.placement.answered(instance, answer.position);
+  const samples = context.samples(route.group);
+  context.placement.answered(instance, answer.position, samples);
   context.requests.served(task, "read", () => ({
     group: route.group,
     instance,
@@ -186,6 +200,17 @@
   return { kind: "answered", answer };
 }
 
+/** Runs a statement whose answer nobody may wait for to its end. */
+async function runTracked(
+  session: SessionState,
+  running: LinkResult<Answer>,
+): LinkResult<Answer> {
+  session.track(running.then(async (result) => {
+    if (result.isErr()) await result.error.over;
+  }));
+  return await running;
+}
+
 function giveUp(
   task: Task,
   instance: string,
@@ -234,10 +259,11 @@
     return giveUp(task, instance, lent.error.message, undefined);
   }
   const link = lent.value;
+  context.succession.asked(route.group, instance);
   prepareLink(link, session, read.shape, deadline);
-  const result = await link.run(
-    { id: task.id, operation: read.operation },
-    deadline,
+  const result = await runTracked(
+    session,
+    link.run({ id: task.id, operation: read.operation }, deadline),
   );
   if (result.isErr()) {
     context.succession.failed(route.group, instance);
--- a/src/plugins/sessions/session_context.ts
+++ b/src/plugins/sessions/session_context.ts
@@ -34,6 +34,19 @@
   readonly values = new Map<string, string>();
   readonly prepared = new Map<string, PreparedShape>();
   #position: Position | undefined;
+  /** Statements that were sent and may still run. */
+  readonly #running = new Set<Promise<void>>();
+
+  /** Notes a statement that may run until the promise resolves. */
+  track(over: Promise<void>): void {
+    this.#running.add(over);
+    void over.then(() => this.#running.delete(over));
+  }
+
+  /** Resolves when no statement of the session can run any more, so that a change of its values concerns none that was sent before. */
+  async settled(): Promise<void> {
+    await Promise.all(this.#running);
+  }
 
   /** Position that the session's own writes have reached. */
   get position(): Position | undefined {
--- a/src/plugins/sessions/transaction.ts
+++ b/src/plugins/sessions/transaction.ts
@@ -12,13 +12,14 @@
 import {
   answered,
   noInstance,
+  noPlace,
   noPrimary,
   type Outcome,
   refused,
   transactionLost,
   unknownOutcome,
 } from "./outcome.ts";
-import { confirmAnswer, noteLeaderAnswer } from "./primary_work.ts";
+import { confirmAnswer, noteLeaderAnswer, placeRead } from "./primary_work.ts";
 import { type ReadOperation, requirePosition } from "./read_run.ts";
 import type { Task } from "./session_context.ts";
 
@@ -36,7 +37,9 @@
   readonly #link: UpstreamLink;
   readonly #leader: Leader | undefined;
   readonly #leave: () => void;
+  readonly #openedAt = performance.now();
   #ended = false;
+  #statements = 0;
   #wrote = false;
   #confirmed = false;
 
@@ -90,7 +93,11 @@
     }
     const { link, answer } = begun.value;
     noteLeaderAnswer(context, route.group, leader, answer);
-    return ok(new Transaction(link, leader, leave));
+    const leaveBoth = () => {
+      leave();
+      begun.value.leave();
+    };
+    return ok(new Transaction(link, leader, leaveBoth));
   }
 
   static async #openAnywhere(
@@ -100,21 +107,23 @@
     const { context, route } = task;
     const position = await requirePosition(task);
     if (!position) return err(noInstance(route.group, "no fresh position"));
-    const instance = context.placement.choose({
-      group: route.group,
-      position,
-      primary: context.succession.leadership(route.group).primary,
-      excluded,
-    });
-    if (!instance) {
+    const place = placeRead(task, position, excluded);
+    if (!place) {
       excluded.clear();
       return err(noInstance(route.group, "all were tried"));
     }
+    const { instance, wait } = place;
     excluded.add(instance);
+    if (wait > 0) await new Promise((resolve) => setTimeout(resolve, wait));
     const begun = await Transaction.#begin(task, instance, true, position);
     if (begun.isErr()) return err(begun.error);
-    context.placement.answered(instance, begun.value.answer.position);
-    return ok(new Transaction(begun.value.link, undefined, () => {}));
+    context.placement.answered(
+      instance,
+      begun.value.answer.position,
+      context.samples(route.group),
+    );
+    const { link, leave } = begun.value;
+    return ok(new Transaction(link, undefined, leave));
   }
 
   static async #begin(
@@ -123,16 +132,23 @@
     readOnly: boolean,
     after?: Position,
   ): Promise<
-    Result<{ readonly link: UpstreamLink; readonly answer: Answer }, Failure>
+    Result<
+      {
+        readonly link: UpstreamLink;
+        readonly answer: Answer;
+        readonly leave: () => void;
+      },
+      Failure
+    >
   > {
     const { context, route, deadline, session } = task;
-    const { placement } = context;
-    const lent = await context.pools.acquire(
-      instance,
-      route.priority,
-      deadline,
-    );
+    const { placement, pools } = context;
+    const { priority } = route;
+    const leave = await pools.enterTransaction(instance, priority, deadline);
+    if (!leave) return err(noPlace(route.group, instance));
+    const lent = await pools.acquire(instance, priority, deadline);
     if (lent.isErr()) {
+      leave();
       placement.failed(instance);
       context.requests.attempt(task, instance, lent.error.message, {});
       return err(lent.error);
@@ -141,16 +157,22 @@
     prepareLink(link, session, undefined, deadline);
     const result = await link.begin({ readOnly, after }, deadline);
     if (result.isErr()) {
+      leave();
       placement.failed(instance);
       context.succession.failed(route.group, instance);
       context.requests.attempt(task, instance, result.error.reason, {});
       return err(noInstance(route.group, result.error.reason));
     }
     const answer = result.value;
-    if (!answer.fault && answer.state === "open") return ok({ link, answer });
+    if (!answer.fault && answer.state === "open") {
+      return ok({ link, answer, leave });
+    }
+    leave();
     if (answer.state === "idle") link.release();
     else link.destroy();
-    if (answer.fault === "lagging") placement.lagged(instance);
+    if (answer.fault === "lagging" && after) {
+      placement.lagged(instance, after, context.samples(route.group));
+    }
     const reason = answer.fault ?? "the transaction is not open";
     context.requests.attempt(task, instance, reason, {});
     return err(noInstance(route.group, reason));
@@ -163,6 +185,8 @@
     effect: "read" | "write",
   ): Promise<Outcome> {
     const { context, route, deadline } = task;
+    this.#statements += 1;
+    context.succession.asked(route.group, this.instance);
     prepareLink(this.#link, task.session, statement.shape, deadline);
     const result = await this.#link.run(
       { id: task.id, operation: statement.operation },
@@ -222,6 +246,8 @@
       group: task.route.group,
       instance: this.instance,
       wrote,
+      statements: this.#statements,
+      lasted: Math.round(performance.now() - this.#openedAt),
     }));
     return answered(answer);
   }
--- a/src/plugins/sessions/write_run.ts
+++ b/src/plugins/sessions/write_run.ts
@@ -51,12 +51,15 @@
         continue;
       }
       const link = lent.value;
+      context.succession.asked(route.group, instance);
       prepareLink(link, task.session, write.shape, deadline);
       const result = await link.run(
         { id: task.id, operation: write.operation },
         deadline,
       );
       if (result.isErr()) {
+        const { over } = result.error;
+        if (over) task.session.track(over);
         context.succession.failed(route.group, instance);
         return refused(unknownOutcome(
           `${instance} gave no answer to the write: ${result.error.reason}`,
--- a/src/plugins/upstream/link.ts
+++ b/src/plugins/upstream/link.ts
@@ -46,8 +46,13 @@
 /** A connection ended or was given up before the answer was whole. */
 export interface LinkLoss {
   readonly reason: string;
-  /** Whether the deadline passed with no answer, rather than the connection being closed. */
+  /**
+   * Whether the deadline passed with no answer. The connection then goes back
+   * by itself once the answer has come; its borrower lets go of it.
+   */
   readonly silent: boolean;
+  /** Resolves when the statement can't run any more: its late answer has come, or the connection is closed. */
+  readonly over?: Promise<void>;
 }
 
 /** What to run: a text as the caller gave it, or a statement prepared on the link. */
@@ -97,7 +102,7 @@
   readonly values: ReadonlyMap<string, string>;
   /** Names of the statements prepared on it. */
   readonly prepared: ReadonlySet<string>;
-  /** Runs a statement; `deadline` is in monotonic ms, after it the connection is closed. */
+  /** Runs a statement; `deadline` is in monotonic ms. */
   run(statement: LinkStatement, deadline: number): LinkResult<Answer>;
   /** Opens a transaction. */
   begin(
