--- a/src/plugins/connections/instance_pool.ts
+++ b/src/plugins/connections/instance_pool.ts
@@ -46,11 +46,22 @@
   readonly onFailure: () => void;
 }
 
-/** Idle connections that are kept open while the share allows it. */
-const WARM_CONNECTIONS = 2;
+/** How long a pool keeps connections that nobody uses. */
+export interface IdlePolicy {
+  /** Idle connections that are kept open while the share allows it. */
+  readonly warm: number;
+  /** An idle connection beyond the warm ones is closed after this time without use, in ms. */
+  readonly surplusTimeout: number;
+  /** A warm connection is closed after this time without use, in ms; Infinity keeps it. */
+  readonly warmTimeout: number;
+}
 
-/** An idle connection beyond the warm ones is closed after this time without use. */
-const IDLE_TIMEOUT_MS = 30_000;
+/** For instances that grant each proxy more connections than it needs. */
+export const GENEROUS_IDLE_POLICY: IdlePolicy = {
+  warm: 2,
+  surplusTimeout: 30_000,
+  warmTimeout: Infinity,
+};
 
 type Loan<Member> = Result<Member, Failure>;
 
@@ -67,6 +78,8 @@
   readonly #ending = new Set<Member>();
   readonly #queue = new WaitingQueue<Loan<Member>>();
   readonly #opener: Opener<MemberFactory<Member>>;
+  /** How long unused connections are kept. */
+  idlePolicy: IdlePolicy = GENEROUS_IDLE_POLICY;
   #opened = 0;
   #share = 0;
   #closedFor: Failure | undefined;
@@ -171,10 +184,10 @@
   /** Regular upkeep: the demand is sampled and an idle surplus closed, one at a time. */
   maintain(now: number): void {
     this.demand.sample(now);
-    if (this.#open.size > WARM_CONNECTIONS) {
-      const unused = this.#idle.shiftUnused(now - IDLE_TIMEOUT_MS);
-      if (unused) this.#end(unused);
-    }
+    const { warm, surplusTimeout, warmTimeout } = this.idlePolicy;
+    const timeout = this.#open.size > warm ? surplusTimeout : warmTimeout;
+    const unused = this.#idle.shiftUnused(now - timeout);
+    if (unused) this.#end(unused);
     this.#openForWaiters();
     this.#openAhead();
   }
@@ -270,7 +283,9 @@
     const spare = this.#idle.size + this.#opener.pending - this.#queue.size;
     const total = this.#open.size + this.#opener.pending;
     const rising = this.#busy.size >= this.demand.wanted;
-    if (total >= WARM_CONNECTIONS && (spare > 0 || !rising)) return;
+    const idle = this.#busy.size === 0 && this.#queue.size === 0;
+    if (idle && this.idlePolicy.warmTimeout !== Infinity) return;
+    if (total >= this.idlePolicy.warm && (spare > 0 || !rising)) return;
     if (this.#mayOpen()) this.#opener.open();
   }
 
--- a/src/plugins/connections/opener.ts
+++ b/src/plugins/connections/opener.ts
@@ -18,11 +18,17 @@
   readonly onPauseEnded: () => void;
 }
 
+/** Longest pause after an instance could not be reached, in ms. */
+const UNREACHABLE_PAUSE_MS = 1_000;
+
+/** Longest pause after an instance had no connection to spare, in ms: others give theirs back within a second. */
+const REFUSED_PAUSE_MS = 250;
+
 /** Opener of one instance. */
 export class Opener<Opened> {
   readonly #options: OpenerOptions<Opened>;
-  readonly #refused = new RetryDelay();
-  readonly #unreachable = new RetryDelay();
+  readonly #refused = new RetryDelay(REFUSED_PAUSE_MS);
+  readonly #unreachable = new RetryDelay(UNREACHABLE_PAUSE_MS);
   #pending = 0;
 
   constructor(options: OpenerOptions<Opened>) {
--- a/src/plugins/connections/retry_delay.ts
+++ b/src/plugins/connections/retry_delay.ts
@@ -5,13 +5,18 @@
  */
 
 const FIRST_DELAY_MS = 50;
-const LONGEST_DELAY_MS = 1_000;
 
 /** Pause between attempts of one kind. */
 export class RetryDelay {
+  readonly #longest: number;
   #delay = FIRST_DELAY_MS;
   #until = -Infinity;
 
+  /** The pause grows up to `longest` ms. */
+  constructor(longest: number) {
+    this.#longest = longest;
+  }
+
   /** Whether the pause still lasts. */
   waiting(now: number): boolean {
     return now < this.#until;
@@ -21,7 +26,7 @@
   next(now: number): number {
     if (!this.waiting(now)) {
       this.#until = now + this.#delay * (0.5 + Math.random());
-      this.#delay = Math.min(LONGEST_DELAY_MS, 2 * this.#delay);
+      this.#delay = Math.min(this.#longest, 2 * this.#delay);
     }
     return this.#until - now;
   }
--- a/src/plugins/connections/upstream_pools.ts
+++ b/src/plugins/connections/upstream_pools.ts
@@ -18,7 +18,7 @@
 import type { LinkResult, UpstreamLink } from "../upstream/link.ts";
 import type { Priority } from "./connections.ts";
 import { DEMAND_SAMPLE_MS } from "./demand_meter.ts";
-import { InstancePool } from "./instance_pool.ts";
+import { type IdlePolicy, InstancePool } from "./instance_pool.ts";
 import { type Leave, TransactionLimit } from "./transaction_limit.ts";
 import type { MemberFactory } from "./pool_member.ts";
 
@@ -43,11 +43,31 @@
   readonly onFailure: (instance: ListedInstance) => void;
 }
 
-/** Part of an instance's connections that the shares add up to; the rest is for probes and for proxies that join. */
+/** Part of an instance's connections that the shares add up to; above one, since not all proxies need theirs at the same time. */
 const SHARED_PART = 1.2;
 
-/** Fewest connections of a proxy to an instance. */
-const SHARE_LEAST = 2;
+/** Connections that a proxy may open to an instance however many proxies there are; the instance's refusal is the limit then. */
+const SHARE_LEAST = 4;
+
+/** A share below this is scarce: connections are given back as soon as they are not used. */
+const SCARCE_SHARE = 4;
+
+/**
+ * For instances with connections to spare. What is held without use counts
+ * against whoever comes after a loss of this host until the instance notices it.
+ */
+const AMPLE_IDLE_POLICY: IdlePolicy = {
+  warm: 1,
+  surplusTimeout: 2_000,
+  warmTimeout: Infinity,
+};
+
+/** For instances whose connections are fewer than the proxies would keep. */
+const SCARCE_IDLE_POLICY: IdlePolicy = {
+  warm: 1,
+  surplusTimeout: 400,
+  warmTimeout: 4_000,
+};
 
 /** Least time between two reports of an instance whose connections are scarce, in ms. */
 const REPORT_INTERVAL_MS = 500;
@@ -164,16 +184,22 @@
       open: () => connector.open(instance),
       onFailure: () => onFailure(instance),
     });
-    const share = this.#share(instance.group);
-    pool.setShare(share);
+    const share = this.#divide(pool, instance.group);
     return { pool, instance, transactions: new TransactionLimit(share) };
   }
 
-  #share(group: string): number {
+  /** Sets the share of a pool and how it keeps idle connections; gives the share. */
+  #divide(pool: InstancePool<UpstreamLink>, group: string): number {
     const settings = this.#options.routes.table?.groups.get(group);
     const limit = settings?.connectionsPerInstance ?? SHARE_LEAST;
     const proxies = Math.max(1, this.#options.proxies());
-    return Math.max(SHARE_LEAST, Math.floor(limit * SHARED_PART / proxies));
+    const even = Math.floor(limit * SHARED_PART / proxies);
+    pool.idlePolicy = even < SCARCE_SHARE
+      ? SCARCE_IDLE_POLICY
+      : AMPLE_IDLE_POLICY;
+    const share = Math.max(SHARE_LEAST, even);
+    if (share !== pool.use.share) pool.setShare(share);
+    return share;
   }
 
   #maintain(): void {
@@ -186,11 +212,7 @@
       this.forget(id);
     }
     for (const { pool, transactions, instance } of this.#entries.values()) {
-      const share = this.#share(instance.group);
-      if (share !== pool.use.share) {
-        pool.setShare(share);
-        transactions.setShare(share);
-      }
+      transactions.setShare(this.#divide(pool, instance.group));
       pool.maintain(now);
       this.#reportScarcity(pool, now);
     }
--- a/src/plugins/leadership/succession.ts
+++ b/src/plugins/leadership/succession.ts
@@ -23,6 +23,9 @@
 /** A probe without an answer counts as silence after this, in ms: two crossings between regions, an opening and a short queue. */
 const PROBE_TIMEOUT_MS = 350;
 
+/** A connection that fails within this time, in ms, was refused; later, nothing answered. */
+const REFUSAL_MS = 250;
+
 /** Head start of the proxy that ordered the last change of a group, in ms, so that holders do not take turns. */
 const HOLDER_LEAD_MS = 400;
 
@@ -269,7 +272,7 @@
       // Too many connections, or no slot for one more: it lives.
       if (code === ResultCodes.UPSTREAM_REFUSED) return ok(undefined);
       const elapsed = performance.now() - begun;
-      return err(elapsed < PROBE_TIMEOUT_MS ? "refused" : "silent");
+      return err(elapsed < REFUSAL_MS ? "refused" : "silent");
     }
     const link = opened.value({ released: () => {}, closed: () => {} });
     const status = await link.status(begun + PROBE_TIMEOUT_MS);
