--- a/src/plugins/connections/upstream_pools.ts
+++ b/src/plugins/connections/upstream_pools.ts
@@ -237,9 +237,12 @@
   return a.host === b.host && a.port === b.port && a.startedAt === b.startedAt;
 }
 
+/** Lends connections to instances by id. */
+export type LinkLender = Pick<UpstreamPools, "acquire">;
+
 /** Runs work with a connection of an instance and gives it back when the work says that it is idle. */
 export async function withLink<T>(
-  pools: UpstreamPools,
+  pools: LinkLender,
   id: string,
   deadline: number,
   work: (link: UpstreamLink) => LinkResult<T>,
--- a/src/plugins/leadership/instance_rounds.ts
+++ b/src/plugins/leadership/instance_rounds.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import { type EventLog, Events } from "../../kernel/events.ts";
-import { type UpstreamPools, withLink } from "../connections/upstream_pools.ts";
+import { type LinkLender, withLink } from "../connections/upstream_pools.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
 import type { Leader, StatusRounds } from "./group_leadership.ts";
 
@@ -25,7 +25,7 @@
 /** What the rounds are made with. */
 export interface InstanceRoundsOptions {
   readonly directory: InstanceDirectory;
-  readonly pools: UpstreamPools;
+  readonly pools: LinkLender;
   readonly log: EventLog;
 }
 
--- a/src/plugins/leadership/primary_change.ts
+++ b/src/plugins/leadership/primary_change.ts
@@ -12,7 +12,7 @@
 import { randomUUID } from "node:crypto";
 import type { Result } from "neverthrow";
 import { type EventLog, Events } from "../../kernel/events.ts";
-import { type UpstreamPools, withLink } from "../connections/upstream_pools.ts";
+import { type LinkLender, withLink } from "../connections/upstream_pools.ts";
 import type {
   InstanceDirectory,
   ListedInstance,
@@ -58,7 +58,7 @@
   readonly leadership: GroupLeadership;
   readonly coordination: Coordination;
   readonly directory: InstanceDirectory;
-  readonly pools: UpstreamPools;
+  readonly pools: LinkLender;
   readonly order: PromotionOrder;
   readonly log: EventLog;
 }
--- /dev/null
+++ b/test/platform/documents_test.ts
@@ -0,0 +1,110 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { readConfiguration, readInstance } from "../../platform/documents.ts";
+import { checkHostSettings } from "../../platform/settings.ts";
+
+const row = (value: unknown, key = "i-1") => ({
+  table: "servers",
+  key,
+  value: Buffer.from(typeof value === "string" ? value : JSON.stringify(value)),
+  version: 1,
+});
+
+const instance = {
+  service: "ledger",
+  address: "10.0.0.1:8080",
+  zone: "zagreb-a",
+  state: "ready",
+  dbRole: "replica",
+  born: 1_700_000_000_000,
+};
+
+const settings = {
+  nodeName: "client-1",
+  ip: "10.1.0.8",
+  zone: "zagreb-a",
+  zones: { "zagreb-a": "zagreb" },
+  listenAddrs: { frontend: "10.1.0.8:8784", ready: "10.1.0.8:8785" },
+  limits: { memoryMb: 350, maxFds: 4300 },
+  bounds: { graceS: 6 },
+  platform: { address: "10.200.1.7:8783" },
+  cloudApi: { address: "10.200.0.160:8783" },
+  somethingNew: { later: true },
+};
+
+describe("rows of others", () => {
+  it("an instance's entry is read into the project's words", () => {
+    expect(readInstance(row(instance))._unsafeUnwrap()).toEqual({
+      id: "i-1",
+      group: "ledger",
+      host: "10.0.0.1",
+      port: 8080,
+      zone: "zagreb-a",
+      leaving: false,
+      claimsPrimary: false,
+      startedAt: 1_700_000_000_000,
+    });
+  });
+
+  it("an entry with a field missing, of another type or of an unknown state names no instance", () => {
+    for (
+      const wrong of [
+        "not json",
+        "\u0000\u00ff",
+        { ...instance, service: undefined },
+        { ...instance, address: 7 },
+        { ...instance, state: "resting" },
+        { ...instance, dbRole: "witness" },
+        [],
+        null,
+      ]
+    ) {
+      expect(readInstance(row(wrong)).isErr()).toEqual(true);
+    }
+  });
+
+  it("a configuration gives routes by database; one of an unknown kind is left out", () => {
+    const route = { service: "ledger", timeoutMs: 800, priority: 1 };
+    const table = readConfiguration(row({
+      version: 7,
+      routes: [
+        { ...route, host: "booking", kind: "primary" },
+        {
+          ...route,
+          host: "stock",
+          kind: "bounded_staleness",
+          maxStalenessMs: 1500,
+          priority: 2,
+        },
+        { ...route, host: "later", kind: "quorum" },
+      ],
+      services: [{ name: "ledger", maxConnections: 22 }],
+      limits: { txIdleMs: 3000 },
+    }))._unsafeUnwrap();
+    expect([...table.routes.keys()]).toEqual(["booking", "stock"]);
+    expect(table.routes.get("stock")).toEqual({
+      database: "stock",
+      group: "ledger",
+      consistency: "bounded",
+      maxAge: 1500,
+      statementTimeout: 800,
+      priority: "normal",
+    });
+    expect(table.groups.get("ledger")?.connectionsPerInstance).toEqual(22);
+  });
+});
+
+describe("host settings", () => {
+  it("ignore fields that are not known", () => {
+    const read = checkHostSettings(settings)._unsafeUnwrap();
+    expect(read.callers).toEqual({ host: "10.1.0.8", port: 8784 });
+    expect(read.stopTime).toEqual(6_000);
+  });
+
+  it("name the field that is wrong", () => {
+    const wrong = { ...settings, listenAddrs: { frontend: "10.1.0.8" } };
+    const failure = checkHostSettings(wrong)._unsafeUnwrapErr();
+    expect(failure.message.startsWith("listenAddrs.frontend")).toEqual(true);
+    expect(failure.code.exitCode).toEqual(2);
+  });
+});
--- /dev/null
+++ b/test/platform/freshness_test.ts
@@ -0,0 +1,76 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import fc from "fast-check";
+import { PrimarySamples } from "../../src/plugins/freshness/primary_samples.ts";
+import { comparePositions } from "../../src/plugins/upstream/position.ts";
+
+const at = (time: number, lsn: number, term = 1) => ({
+  at: time,
+  position: { term, lsn: BigInt(lsn) },
+});
+
+function samplesOf(...all: ReturnType<typeof at>[]): PrimarySamples {
+  const samples = new PrimarySamples();
+  for (const sample of all) samples.add(sample);
+  return samples;
+}
+
+describe("samples of a primary", () => {
+  it("give the lowest position that covers a time", () => {
+    const samples = samplesOf(at(100, 5), at(200, 9), at(300, 12));
+    expect(samples.covering(150)).toEqual({ term: 1, lsn: 9n });
+    expect(samples.covering(200)).toEqual({ term: 1, lsn: 9n });
+    expect(samples.covering(301)).toEqual(undefined);
+  });
+
+  it("never give a position below one that was seen before the time", () => {
+    fc.assert(fc.property(
+      fc.array(
+        fc.record({ gap: fc.integer({ min: 1, max: 200 }), step: fc.nat(5) }),
+        { minLength: 1, maxLength: 60 },
+      ),
+      fc.nat(8_000),
+      (steps, time) => {
+        const samples = new PrimarySamples();
+        const all: ReturnType<typeof at>[] = [];
+        let now = 0;
+        let lsn = 0;
+        for (const { gap, step } of steps) {
+          now += gap;
+          lsn += step;
+          all.push(at(now, lsn));
+          samples.add(all.at(-1)!);
+        }
+        const covering = samples.covering(time);
+        if (!covering) return;
+        const before = all.filter((sample) => sample.at <= time).at(-1);
+        if (!before) return;
+        expect(comparePositions(covering, before.position) >= 0).toEqual(true);
+      },
+    ));
+  });
+
+  it("of a new term replace those before it", () => {
+    const samples = samplesOf(at(100, 50), at(200, 40, 2));
+    expect(samples.covering(50)).toEqual({ term: 2, lsn: 40n });
+    samples.add(at(300, 60, 1));
+    expect(samples.latest).toEqual(at(200, 40, 2));
+  });
+
+  it("ask a session's own position unless a later term covers it", () => {
+    const samples = samplesOf(at(100, 5));
+    expect(samples.required(100, { term: 1, lsn: 9n }))
+      .toEqual({ term: 1, lsn: 9n });
+    samples.add(at(200, 4, 2));
+    expect(samples.required(100, { term: 1, lsn: 9n }))
+      .toEqual({ term: 2, lsn: 4n });
+  });
+
+  it("tell when a position was reached and passed", () => {
+    const samples = samplesOf(at(100, 5), at(200, 9));
+    expect(samples.reachedAt({ term: 1, lsn: 6n })).toEqual(200);
+    expect(samples.reachedAt({ term: 1, lsn: 10n })).toEqual(Infinity);
+    expect(samples.passedAt({ term: 1, lsn: 5n })).toEqual(200);
+    expect(samples.passedAt({ term: 1, lsn: 9n })).toEqual(undefined);
+  });
+});
--- /dev/null
+++ b/test/platform/leadership_test.ts
@@ -0,0 +1,298 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { errAsync, ok, okAsync } from "neverthrow";
+import { createEventLog } from "../../src/kernel/events.ts";
+import { createFailure, ResultCodes } from "../../src/kernel/result_codes.ts";
+import {
+  InstanceDirectory,
+  type ListedInstance,
+} from "../../src/plugins/deployment/instance_directory.ts";
+import type { GroupRecord } from "../../src/plugins/leadership/coordination.ts";
+import {
+  GroupLeadership,
+  LEASE_EXPIRY_WAIT_MS,
+  LEASE_MS,
+} from "../../src/plugins/leadership/group_leadership.ts";
+import { PrimaryChange } from "../../src/plugins/leadership/primary_change.ts";
+import type {
+  LinkStatus,
+  UpstreamLink,
+} from "../../src/plugins/upstream/link.ts";
+import { FakeCoordination, FakeStore } from "./fixtures/fake_coordination.ts";
+
+const log = createEventLog("silent", {});
+const sleep = (duration: number) =>
+  new Promise((resolve) => setTimeout(resolve, duration));
+
+const instance = (id: string, claimsPrimary = false): ListedInstance => ({
+  id,
+  group: "ledger",
+  host: "10.0.0.1",
+  port: 1,
+  zone: "zagreb-a",
+  leaving: false,
+  claimsPrimary,
+  startedAt: 0,
+});
+
+const changing: GroupRecord = {
+  phase: "changing",
+  primary: "p",
+  term: 1,
+  holder: "b",
+  planned: false,
+  expiresAt: 1e12,
+  operation: "x",
+};
+
+function createProxy(name: string, store: FakeStore, roundsConfirm = false) {
+  const directory = new InstanceDirectory();
+  directory.replaceAll([instance("p", true), instance("r1"), instance("r2")]);
+  const coordination = new FakeCoordination(name, store);
+  const rounds: string[] = [];
+  const abandoned: string[] = [];
+  const leadership = new GroupLeadership({
+    group: "ledger",
+    coordination,
+    directory,
+    rounds: {
+      confirm: (_, leader) => {
+        rounds.push(leader.instance);
+        return Promise.resolve(roundsConfirm);
+      },
+    },
+    abandon: (id) => abandoned.push(id),
+    log,
+  });
+  coordination.subscribe(() => leadership.refresh());
+  coordination.receive();
+  return { directory, coordination, leadership, rounds, abandoned };
+}
+
+/** Lets the lease of a proxy run out without waiting for it. */
+function expireLease({ coordination }: ReturnType<typeof createProxy>): void {
+  coordination.cut = true;
+  coordination.confirmedAt = performance.now() - LEASE_MS - 1;
+}
+
+describe("leadership of a group", () => {
+  it("is that of the one instance that claims it, while no row says otherwise", () => {
+    const { leadership } = createProxy("a", new FakeStore());
+    expect(leadership.current()?.instance).toEqual("p");
+  });
+
+  describe("an answer of the primary", () => {
+    it("counts within the lease", async () => {
+      const { leadership, rounds } = createProxy("a", new FakeStore());
+      const leader = leadership.current()!;
+      expect(leadership.isConfirmed(leader.epoch)).toEqual(true);
+      expect(await leadership.confirm(leader, performance.now() + 100))
+        .toEqual(true);
+      expect(rounds).toEqual([]);
+    });
+
+    it("waits for an answer of the store that was asked for later", async () => {
+      const proxy = createProxy("a", new FakeStore());
+      const leader = proxy.leadership.current()!;
+      expireLease(proxy);
+      expect(proxy.leadership.isConfirmed(leader.epoch)).toEqual(false);
+      setTimeout(() => {
+        proxy.coordination.cut = false;
+        proxy.coordination.receive();
+      }, 40);
+      const begun = performance.now();
+      expect(await proxy.leadership.confirm(leader, begun + 1_000))
+        .toEqual(true);
+      expect(performance.now() - begun > 30).toEqual(true);
+    });
+
+    it("counts after a round when the store is away, and not when the round fails", async () => {
+      for (const confirms of [true, false]) {
+        const proxy = createProxy("a", new FakeStore(), confirms);
+        const leader = proxy.leadership.current()!;
+        expireLease(proxy);
+        const until = performance.now() + 400;
+        expect(await proxy.leadership.confirm(leader, until))
+          .toEqual(confirms);
+        expect(proxy.rounds.length > 0).toEqual(true);
+      }
+    });
+
+    it("does not count once the proxy has let go, also when the change is taken over", async () => {
+      const store = new FakeStore();
+      const proxy = createProxy("a", store);
+      const leader = proxy.leadership.current()!;
+      const other = new FakeCoordination("b", store);
+      const first = await other.putGroup("ledger", 0, changing);
+      await sleep(5);
+      expect(other.acknowledgement("ledger", "a")?.version)
+        .toEqual(first._unsafeUnwrap().version);
+      expect(proxy.leadership.isConfirmed(leader.epoch)).toEqual(false);
+      await other.putGroup("ledger", 1, { ...changing, holder: "c" })
+        .then(() => other.putGroup("ledger", 2, changing));
+      store.publish();
+      expect(proxy.leadership.isConfirmed(leader.epoch)).toEqual(false);
+      expect(await proxy.leadership.confirm(leader, performance.now() + 50))
+        .toEqual(false);
+    });
+
+    it("of work that runs still counts in a planned change, until that work has ended", async () => {
+      const store = new FakeStore();
+      const proxy = createProxy("a", store);
+      const leader = proxy.leadership.current()!;
+      const leave = proxy.leadership.enter();
+      const other = new FakeCoordination("b", store);
+      await other.putGroup("ledger", 0, { ...changing, planned: true });
+      expect(proxy.leadership.current()).toEqual(undefined);
+      expect(proxy.leadership.isConfirmed(leader.epoch)).toEqual(true);
+      expect(other.acknowledgement("ledger", "a")).toEqual(undefined);
+      leave();
+      await sleep(5);
+      expect(other.acknowledgement("ledger", "a") !== undefined).toEqual(true);
+      expect(proxy.leadership.isConfirmed(leader.epoch)).toEqual(false);
+    });
+  });
+
+  it("ends the statements at a primary that was not heard of late", async () => {
+    const store = new FakeStore();
+    const proxy = createProxy("a", store);
+    proxy.leadership.heard(1);
+    const other = new FakeCoordination("b", store);
+    await other.putGroup("ledger", 0, changing);
+    await sleep(5);
+    expect(proxy.abandoned).toEqual([]);
+    const silent = createProxy("c", store);
+    await sleep(5);
+    expect(silent.abandoned).toEqual(["p"]);
+  });
+});
+
+describe("a change of primary", () => {
+  const status = (
+    lsn: number,
+    role: LinkStatus["role"] = "replica",
+    term = 1,
+  ) => ({
+    role,
+    term,
+    received: { term: 1, lsn: BigInt(lsn) },
+    pausedAt: 0,
+    lag: 0,
+    sentAt: 0,
+  });
+
+  function createChange(options: {
+    readonly planned?: boolean;
+    readonly others?: (store: FakeStore) => void;
+  }) {
+    const store = new FakeStore();
+    const proxy = createProxy("a", store);
+    options.others?.(store);
+    store.publish();
+    const statuses: Record<string, LinkStatus> = {
+      r1: status(7),
+      r2: status(9),
+    };
+    const orders: string[] = [];
+    const calls: string[] = [];
+    const link = (id: string) => {
+      const answer = (name: string) => () => {
+        calls.push(`${name} ${id}`);
+        return Promise.resolve(ok(statuses[id]!));
+      };
+      return {
+        status: answer("status"),
+        pause: answer("pause"),
+        resume: answer("resume"),
+        stepDown: answer("stepDown"),
+        release: () => {},
+      } as unknown as UpstreamLink;
+    };
+    const change = new PrimaryChange({
+      proxy: "a",
+      leadership: proxy.leadership,
+      coordination: proxy.coordination,
+      directory: proxy.directory,
+      pools: {
+        acquire: (id) =>
+          statuses[id] ? okAsync(link(id)) : errAsync(
+            createFailure(ResultCodes.UPSTREAM_UNREACHABLE, `${id} is dead`),
+          ),
+      },
+      order: {
+        promote: ({ instance, token }, _, mayStillSend) => {
+          orders.push(`${instance} ${token} ${mayStillSend()}`);
+          statuses[instance] = status(9, "primary", 2);
+          return Promise.resolve({ kind: "accepted" });
+        },
+      },
+      log,
+    }, { planned: options.planned ?? false, text: "test" });
+    return { store, proxy, change, orders, calls, statuses };
+  }
+
+  it("promotes the replica with the furthest log and names it in the row", async () => {
+    const { store, change, orders, calls } = createChange({});
+    expect(await change.run()).toEqual("changed");
+    expect(orders).toEqual(["r2 1 true"]);
+    const row = store.groups.get("ledger")!.value;
+    expect([row.phase, row.primary, row.term]).toEqual(["steady", "r2", 2]);
+    expect(calls.some((call) => call.startsWith("pause"))).toEqual(false);
+  });
+
+  it("is given up when another proxy has just heard the primary", async () => {
+    const { store, change, orders } = createChange({
+      others: (shared) => {
+        const witness = createProxy("b", shared);
+        witness.leadership.heard(1);
+      },
+    });
+    expect(await change.run()).toEqual("abandoned");
+    expect(orders).toEqual([]);
+    const row = store.groups.get("ledger")!.value;
+    expect([row.phase, row.primary]).toEqual(["steady", "p"]);
+  });
+
+  it("waits for the lease of a proxy that is cut off, and pauses the others first", async () => {
+    const { change, orders, calls } = createChange({
+      others: (shared) => {
+        const silent = createProxy("b", shared);
+        silent.coordination.cut = true;
+      },
+    });
+    const begun = performance.now();
+    expect(await change.run()).toEqual("changed");
+    expect(performance.now() - begun >= LEASE_EXPIRY_WAIT_MS).toEqual(true);
+    expect(calls.filter((call) => call.startsWith("pause")).length).toEqual(2);
+    expect(calls.includes("resume r1")).toEqual(true);
+    expect(orders.length).toEqual(1);
+  });
+
+  it("orders nothing once another proxy has taken it over", async () => {
+    const { store, change, orders } = createChange({
+      others: (shared) => {
+        const silent = createProxy("b", shared);
+        silent.coordination.cut = true;
+      },
+    });
+    const other = new FakeCoordination("c", store);
+    const running = change.run();
+    await sleep(50);
+    await other.putGroup("ledger", store.groups.get("ledger")!.version, {
+      ...changing,
+      holder: "c",
+    });
+    expect(await running).toEqual("lost");
+    expect(orders).toEqual([]);
+  });
+
+  it("is lost at once to a proxy whose row came first", async () => {
+    const { store, proxy, change, orders } = createChange({});
+    const other = new FakeCoordination("b", store);
+    proxy.coordination.cut = true;
+    await other.putGroup("ledger", 0, changing);
+    proxy.coordination.cut = false;
+    expect(await change.run()).toEqual("lost");
+    expect(orders).toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/platform/lines_test.ts
@@ -0,0 +1,166 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import fc from "fast-check";
+import {
+  AnswerReader,
+  formatWirePosition,
+  LINE_ENCODING,
+  LINE_MAX_BYTES,
+  LineSplitter,
+  parseWirePosition,
+  readStatement,
+  readStatus,
+  splitFields,
+} from "../../platform/lines.ts";
+
+const line = fc.string({ unit: "binary-ascii", maxLength: 60 })
+  .map((text) => text.replace(/[\r\n]/g, "_"));
+
+describe("lines", () => {
+  describe("splitting", () => {
+    it("gives the same lines however the stream is cut", () => {
+      fc.assert(fc.property(
+        fc.array(line, { maxLength: 20 }),
+        fc.array(fc.integer({ min: 1, max: 30 }), { minLength: 1 }),
+        (lines, cuts) => {
+          const data = Buffer.from(
+            lines.map((item) => item + "\r\n").join(""),
+            LINE_ENCODING,
+          );
+          const splitter = new LineSplitter();
+          const found: string[] = [];
+          for (let from = 0, turn = 0; from < data.length; turn += 1) {
+            const to = from + cuts[turn % cuts.length]!;
+            const part = splitter.push(data.subarray(from, to));
+            if (part === "too long") throw new Error("too long");
+            found.push(...part);
+            from = to;
+          }
+          expect(found).toEqual(lines);
+          expect(splitter.partial).toEqual(false);
+        },
+      ));
+    });
+
+    it("keeps every byte", () => {
+      const bytes = Buffer.from(
+        [...Array(256).keys()].filter((byte) => byte !== 10 && byte !== 13),
+      );
+      const lines = new LineSplitter()
+        .push(Buffer.concat([bytes, Buffer.from("\r\n")]));
+      expect(Buffer.from(lines[0]!, LINE_ENCODING).equals(bytes)).toEqual(true);
+    });
+
+    it("stops at a line that is too long, ended or not", () => {
+      const long = Buffer.alloc(LINE_MAX_BYTES + 1, 0x61);
+      expect(new LineSplitter().push(long)).toEqual("too long");
+      const ended = Buffer.concat([long, Buffer.from("\r\n")]);
+      expect(new LineSplitter().push(ended)).toEqual("too long");
+    });
+  });
+
+  it("puts the blanks of the last field back", () => {
+    expect(splitFields("QUERY a WRITE x y z", 3))
+      .toEqual(["QUERY", "a", "WRITE x y z"]);
+  });
+
+  describe("positions", () => {
+    it("come back as they were written", () => {
+      fc.assert(fc.property(
+        fc.nat(1_000_000),
+        fc.bigInt({ min: 0n, max: 10n ** 18n }),
+        (term, lsn) => {
+          expect(parseWirePosition(formatWirePosition({ term, lsn })))
+            .toEqual({ term, lsn });
+        },
+      ));
+    });
+
+    it("are undefined for a dash and for other text", () => {
+      for (const text of ["-", "", "3", "3.x", "x.3", undefined]) {
+        expect(parseWirePosition(text)).toEqual(undefined);
+      }
+    });
+  });
+
+  describe("statements", () => {
+    it("are read by their first word", () => {
+      expect(readStatement("BEGIN")).toEqual({
+        kind: "begin",
+        readOnly: false,
+      });
+      expect(readStatement("BEGIN READ"))
+        .toEqual({ kind: "begin", readOnly: true });
+      expect(readStatement("WRITE 1a4 some data"))
+        .toEqual({ kind: "write", text: "WRITE 1a4 some data" });
+      expect(readStatement("PREPARE s1 WRITE q2c")).toEqual({
+        kind: "prepare",
+        name: "s1",
+        shape: { effect: "write", shape: "q2c" },
+      });
+      expect(readStatement("EXECUTE s1 1a4 a b")).toEqual({
+        kind: "execute",
+        name: "s1",
+        arguments: "1a4 a b",
+      });
+      expect(readStatement("SET zone a b"))
+        .toEqual({ kind: "set", name: "zone", value: "a b" });
+    });
+
+    it("are malformed when a word or field is missing, never anything else", () => {
+      for (
+        const text of [
+          "",
+          "READ",
+          "WRITE 1a4",
+          "BEGIN WRITE",
+          "AFTER 1.2 READ 1a4",
+          "PREPARE s1 DELETE q",
+          "EXECUTE s1",
+          "COMMIT now",
+          "STATUS",
+        ]
+      ) {
+        expect(readStatement(text).kind).toEqual("malformed");
+      }
+    });
+  });
+
+  describe("answers", () => {
+    it("end with READY and carry rows, signature and position", () => {
+      const reader = new AnswerReader(7);
+      expect(reader.take("DATAROW some row")).toEqual(undefined);
+      expect(reader.take("COMPLETE 7.1f3")).toEqual(undefined);
+      expect(reader.take("READY I 3.1209")).toEqual({
+        rows: ["some row"],
+        signature: "7.1f3",
+        fault: undefined,
+        faultText: undefined,
+        state: "idle",
+        position: { term: 3, lsn: 1209n },
+        sentAt: 7,
+      });
+    });
+
+    it("with READY before COMPLETE or ERROR are malformed", () => {
+      expect(new AnswerReader(0).take("READY I 3.1")).toEqual("malformed");
+      expect(new AnswerReader(0).take("WHAT")).toEqual("malformed");
+    });
+
+    it("of a status give role, term, received position and the term it is paused at", () => {
+      const reader = new AnswerReader(0);
+      reader.take("DATAROW replica 3 3.1209 4 12 2 17");
+      reader.take("COMPLETE -");
+      const answer = reader.take("READY I 3.1204");
+      if (!answer || answer === "malformed") throw new Error("no answer");
+      expect(readStatus(answer)).toEqual({
+        role: "replica",
+        term: 3,
+        received: { term: 3, lsn: 1209n },
+        pausedAt: 4,
+        lag: 12,
+        sentAt: 0,
+      });
+    });
+  });
+});
--- /dev/null
+++ b/test/platform/placement_test.ts
@@ -0,0 +1,111 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import type { ListedInstance } from "../../src/plugins/deployment/instance_directory.ts";
+import { PrimarySamples } from "../../src/plugins/freshness/primary_samples.ts";
+import {
+  type PlacementRequest,
+  ReadPlacement,
+} from "../../src/plugins/placement/read_placement.ts";
+
+const instance = (id: string, zone: string, leaving = false) =>
+  ({
+    id,
+    group: "ledger",
+    host: "10.0.0.1",
+    port: 1,
+    zone,
+    leaving,
+    claimsPrimary: id === "p",
+    startedAt: 0,
+  }) satisfies ListedInstance;
+
+function createPlacement(
+  instances = [
+    instance("p", "split-a"),
+    instance("near", "zagreb-a"),
+    instance("far", "osijek-a"),
+  ],
+  outstanding: Readonly<Record<string, number>> = {},
+) {
+  const samples = new PrimarySamples();
+  samples.add({ at: 100, position: { term: 1, lsn: 5n } });
+  samples.add({ at: 1_000, position: { term: 1, lsn: 9n } });
+  const placement = new ReadPlacement(
+    { group: () => instances },
+    { outstanding: (id) => outstanding[id] ?? 0 },
+    {
+      zone: "zagreb-a",
+      regions: new Map([["zagreb-a", "z"], ["split-a", "s"], [
+        "osijek-a",
+        "o",
+      ]]),
+    },
+  );
+  const request = (
+    extra: Partial<PlacementRequest> = {},
+  ): PlacementRequest => ({
+    group: "ledger",
+    position: { term: 1, lsn: 5n },
+    samples,
+    primary: "p",
+    primaryUsable: true,
+    excluded: new Set<string>(),
+    ...extra,
+  });
+  return { placement, samples, request };
+}
+
+describe("placement of reads", () => {
+  it("takes the replica of the own zone", () => {
+    const { placement, request } = createPlacement();
+    expect(placement.choose(request(), 1_000))
+      .toEqual({ instance: "near", wait: 0 });
+  });
+
+  it("goes further when the near one is loaded", () => {
+    const { placement, request } = createPlacement(undefined, { near: 20 });
+    expect(placement.choose(request(), 1_000)?.instance).toEqual("far");
+  });
+
+  it("waits for a replica that will have the position soon", () => {
+    const { placement, samples, request } = createPlacement();
+    placement.lagged("near", { term: 1, lsn: 9n }, samples, 1_020);
+    const choice = placement.choose(
+      request({ position: { term: 1, lsn: 9n } }),
+      1_020,
+    );
+    expect(choice).toEqual({ instance: "near", wait: 15 });
+  });
+
+  it("passes over a replica that is far behind", () => {
+    const { placement, samples, request } = createPlacement();
+    const position = { term: 1, lsn: 9n };
+    placement.lagged("near", position, samples, 3_000);
+    samples.add({ at: 3_000, position: { term: 1, lsn: 20n } });
+    const choice = placement.choose(
+      request({ position: { term: 1, lsn: 20n } }),
+      3_000,
+    );
+    expect(choice?.instance).toEqual("far");
+  });
+
+  it("gives an instance that failed one trial at a time", () => {
+    const { placement, request } = createPlacement();
+    placement.failed("near", 1_000);
+    expect(placement.choose(request(), 1_100)?.instance).toEqual("far");
+    expect(placement.choose(request(), 1_300)?.instance).toEqual("near");
+    expect(placement.choose(request(), 1_301)?.instance).toEqual("far");
+    placement.answered("near", undefined, request().samples, 1_310);
+    expect(placement.choose(request(), 1_311)?.instance).toEqual("near");
+  });
+
+  it("uses no instance that leaves, and the primary only while it may be used", () => {
+    const { placement, request } = createPlacement([
+      instance("p", "zagreb-a"),
+      instance("near", "zagreb-a", true),
+    ]);
+    expect(placement.choose(request(), 1_000)?.instance).toEqual("p");
+    expect(placement.choose(request({ primaryUsable: false }), 1_000))
+      .toEqual(undefined);
+  });
+});
