Platform host: bounded log on standard output, metrics page, readiness with reasons

Logs went to standard error through one module that composed everything. Now standard output, written asynchronously with a bound of 1 MiB, what is dropped is counted and reported; counters and latency histograms (hdr-histogram-js) on port 9464. main.ts is thin; services lie in platform_host, rows in followed_tables.

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -48,6 +48,7 @@
   STORE_HISTORY_LOST: event(311, "store-history-lost", "info"),
   STORE_WRITE_UNSETTLED: event(312, "store-write-unsettled", "warn"),
   READINESS_CHANGED: event(313, "readiness-changed", "info"),
+  INSTANCE_LAPSED: event(314, "instance-lapsed", "info"),
   PLATFORM_RECOVERED: event(320, "platform-recovered", "info"),
   CALLER_CONNECTED: event(401, "caller-connected", "debug"),
   CALLER_DISCONNECTED: event(402, "caller-disconnected", "debug"),
--- /dev/null
+++ b/src/plugins/metrics/metrics_page.ts
@@ -0,0 +1,99 @@
+/**
+ * The page of metrics of a proxy that serves sessions, in the Prometheus text format.
+ *
+ * @module
+ */
+import { createServer, type Server } from "node:http";
+import type { UpstreamPools } from "../connections/upstream_pools.ts";
+import type { RequestCounters } from "./request_counters.ts";
+
+const QUANTILES: readonly number[] = [0.5, 0.9, 0.99, 0.999];
+
+/** What the page shows besides the requests. */
+export interface MetricsSources {
+  readonly requests: RequestCounters;
+  readonly pools: Pick<UpstreamPools, "use">;
+  /** Connected callers. */
+  readonly callers: () => number;
+  /** Version of the configuration in force; 0 for none. */
+  readonly version: () => number;
+  /** Age, in ms, of the newest confirmation by the store. */
+  readonly confirmationAge: () => number;
+  /** Log lines that were dropped for a slow reader. */
+  readonly droppedLines: () => number;
+}
+
+/** Serves the page at one path of one port. */
+export class MetricsPage {
+  readonly #sources: MetricsSources;
+  readonly #server: Server;
+
+  constructor(sources: MetricsSources) {
+    this.#sources = sources;
+    this.#server = createServer((request, response) => {
+      if (request.url !== "/metrics") {
+        response.writeHead(404).end();
+        return;
+      }
+      response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+      response.end(this.render());
+    });
+  }
+
+  /** Listens; resolves false when the address is not free. */
+  start(host: string, port: number): Promise<boolean> {
+    return new Promise((resolve) => {
+      this.#server.once("error", () => resolve(false));
+      this.#server.listen(port, host, () => resolve(true));
+    });
+  }
+
+  /** Listens no more. */
+  stop(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  /** The text of the page. */
+  render(): string {
+    const { requests, pools } = this.#sources;
+    const lines: string[] = [];
+    const add = (name: string, labels: string, value: number) =>
+      lines.push(`marjoramshed_${name}${labels && `{${labels}}`} ${value}`);
+    for (const [effect, histogram] of requests.latencies) {
+      for (const quantile of QUANTILES) {
+        add(
+          "request_milliseconds",
+          `effect="${effect}",quantile="${quantile}"`,
+          histogram.getValueAtPercentile(quantile * 100),
+        );
+      }
+      add("requests_total", `effect="${effect}"`, histogram.totalCount);
+    }
+    for (const [code, count] of requests.refusals) {
+      add("refusals_total", `code="${code}"`, count);
+    }
+    for (const [reason, count] of requests.attempts) {
+      add("failed_attempts_total", `reason="${reason}"`, count);
+    }
+    for (const use of pools.use()) {
+      const labels = `group="${use.database}",instance="${use.instance}"`;
+      add("connections_open", labels, use.open);
+      add("connections_busy", labels, use.busy);
+      add("statements_waiting", labels, use.waiting);
+      add("connections_share", labels, use.share);
+      add("connections_opened_total", labels, use.opened);
+    }
+    add("callers", "", this.#sources.callers());
+    add("configuration_version", "", this.#sources.version());
+    const age = this.#sources.confirmationAge();
+    add(
+      "store_confirmation_age_milliseconds",
+      "",
+      Math.round(Math.min(age, 1e9)),
+    );
+    add("log_lines_sampled_out_total", "", requests.omittedLines);
+    add("log_lines_dropped_total", "", this.#sources.droppedLines());
+    return lines.join("\n") + "\n";
+  }
+}
