Stand-ins of the users' platform; sessions and faults tested with real processes

Found by the new tests: with every reply lost, a promotion was ordered again and again though it had taken effect (gap over 10 s), since only an accepted order was looked after. Failed first; now an unsettled order is given 1.5 s to show its effect (2.5 s in all).

--- a/src/plugins/leadership/primary_change.ts
+++ b/src/plugins/leadership/primary_change.ts
@@ -45,6 +45,9 @@
 /** Time for one call that orders a promotion, in ms. */
 const PROMOTE_TIMEOUT_MS = 1_000;
 
+/** How long an order whose reply was lost is given to show its effect, in ms, before it is given again: the slowest users' databases take 1,000 ms. */
+const SETTLE_TIME_MS = 1_500;
+
 /** How long a candidate of a planned change may take to receive the rest of the log, in ms. */
 const CATCH_UP_MS = 1_500;
 
@@ -283,8 +286,10 @@
         reason: "reason" in reply ? reply.reason : undefined,
       });
       if (reply.kind === "rejected") return undefined;
-      if (reply.kind === "accepted") {
-        const term = await this.#waitForTerm(candidate.id);
+      if (reply.kind !== "not sent") {
+        const patience = reply.kind === "accepted" ? Infinity : SETTLE_TIME_MS;
+        const until = performance.now() + patience;
+        const term = await this.#waitForTerm(candidate.id, until);
         if (term !== undefined) return term;
       }
       await pause();
@@ -292,11 +297,11 @@
     return "lost";
   }
 
-  /** Waits until an instance leads under a higher term. */
-  async #waitForTerm(id: string): Promise<number | undefined> {
+  /** Waits until an instance leads under a higher term, until a time (monotonic ms). */
+  async #waitForTerm(id: string, until: number): Promise<number | undefined> {
     const { directory } = this.#options;
     await new Promise((resolve) => setTimeout(resolve, FIRST_LOOK_MS));
-    while (this.#mayOrder()) {
+    while (this.#mayOrder() && performance.now() < until) {
       const instance = directory.get(id);
       if (!instance) return undefined;
       const status = await this.#ask(instance, (link, at) => link.status(at));
--- /dev/null
+++ b/standins/line_group/connection.ts
@@ -0,0 +1,171 @@
+/**
+ * One connection to an instance of the group on the line wire.
+ *
+ * @module
+ */
+import type { Socket } from "node:net";
+import { createInterface } from "node:readline";
+import type { Group, Member, Write } from "./group.ts";
+
+type State = "I" | "T" | "E";
+
+/** Answers the statements of one connection. */
+export class Connection {
+  readonly #group: Group;
+  readonly #member: Member;
+  readonly #name: string;
+  readonly #socket: Socket;
+  readonly #values = new Map<string, string>();
+  readonly #prepared = new Map<string, readonly [string, string]>();
+  #started = false;
+  #state: State = "I";
+  #plain = false;
+  #writes: Write[] = [];
+  #signed = 0;
+
+  constructor(group: Group, member: Member, name: string, socket: Socket) {
+    this.#group = group;
+    this.#member = member;
+    this.#name = name;
+    this.#socket = socket;
+    socket.on("error", () => {});
+    createInterface({ input: socket }).on("line", (line) => this.#take(line));
+  }
+
+  #take(line: string): void {
+    if (this.#member.reach === "dark") return;
+    const [word, id = "-", ...rest] = line.split(" ");
+    if (word === "TERMINATE") return void this.#socket.end();
+    if (!this.#started) return this.#startup(word!, id, rest[1]);
+    const text = rest.join(" ");
+    const [error, row] = this.#run(id, text);
+    const out = row === undefined ? "" : `DATAROW ${row}\r\n`;
+    if (error) this.#socket.write(`ERROR ${error} ${this.#member.id}\r\n`);
+    else this.#socket.write(`${out}COMPLETE ${this.#sign(id)}\r\n`);
+    const position = this.#member.position(this.#member.applied);
+    this.#socket.write(`READY ${this.#state} ${position}\r\n`);
+  }
+
+  #startup(word: string, name: string, expected: string | undefined): void {
+    const wrong = word !== "STARTUP" || name !== this.#name ||
+      (expected !== undefined && expected !== this.#member.id);
+    if (wrong) return void this.#socket.end("ERROR MISROUTED no\r\n");
+    this.#started = true;
+    this.#socket.write(`READY I ${this.#member.position(0)}\r\n`);
+  }
+
+  #sign(id: string): string {
+    this.#signed += 1;
+    return id === "-" ? "-" : `${this.#member.id}.${this.#signed}`;
+  }
+
+  /** The error word, and the row of a success. */
+  #run(id: string, given: string): readonly [string?, string?] {
+    const after = /^AFTER (\d+)\.(\d+) /.exec(given);
+    const text = after ? given.slice(after[0].length) : given;
+    if (after && !this.#member.shows(Number(after[1]), Number(after[2]))) {
+      return ["LAGGING"];
+    }
+    const [word, first = "", ...rest] = text.split(" ");
+    switch (word) {
+      case "STATUS":
+        return [undefined, this.#status()];
+      case "PAUSE":
+        this.#member.pausedAt = Number(first);
+        return [undefined, this.#status()];
+      case "RESUME":
+        this.#member.pausedAt = 0;
+        return [undefined, this.#status()];
+      case "STEPDOWN":
+        if (this.#member.term < Number(first)) this.#member.role = "replica";
+        return [undefined, this.#status()];
+      case "SET":
+        this.#values.set(first, rest.join(" "));
+        return [];
+      case "DISCARD":
+        this.#values.clear();
+        this.#prepared.clear();
+        return [];
+      case "PREPARE":
+        this.#prepared.set(first, [rest[0]!, rest[1]!]);
+        return [];
+      case "BEGIN":
+        this.#plain = first !== "READ";
+        if (this.#plain && this.#member.role !== "primary") return ["READONLY"];
+        this.#state = "T";
+        return [];
+      case "ROLLBACK":
+        this.#end();
+        return [];
+      case "COMMIT":
+        return this.#commit();
+      case "EXECUTE":
+        return this.#execute(id, first, rest);
+      case "READ":
+        return this.#read(first);
+      case "WRITE":
+        return this.#write({ id, item: first, data: rest.join(" ") });
+    }
+    return this.#fail("MALFORMED");
+  }
+
+  #execute(
+    id: string,
+    name: string,
+    [item = "", ...data]: readonly string[],
+  ): readonly [string?, string?] {
+    const prepared = this.#prepared.get(name);
+    if (!prepared) return this.#fail("NOSTMT");
+    if (prepared[0] === "READ") return this.#read(item);
+    return this.#write({ id, item, data: data.join(" ") });
+  }
+
+  /** Besides the item's data, a row shows the values of the connection, so that a caller can see whose they are. */
+  #read(item: string): readonly [string?, string?] {
+    if (this.#lostLead()) return this.#fail("READONLY");
+    const own = this.#writes.findLast((write) => write.item === item)?.data;
+    const values = [...this.#values].sort().map((pair) => pair.join("="));
+    return [
+      undefined,
+      [own ?? this.#member.read(item), ...values].join(" "),
+    ];
+  }
+
+  #write(write: Write): readonly [string?, string?] {
+    if (this.#member.role !== "primary") return this.#fail("READONLY");
+    if (this.#state === "T") this.#writes.push(write);
+    else this.#group.commit(this.#member, [write]);
+    return [];
+  }
+
+  #commit(): readonly [string?, string?] {
+    const writes = this.#writes;
+    const lost = writes.length > 0 && this.#lostLead();
+    this.#end();
+    if (lost) return ["READONLY"];
+    if (writes.length > 0) this.#group.commit(this.#member, writes);
+    return [];
+  }
+
+  #lostLead(): boolean {
+    return this.#state === "T" && this.#plain &&
+      this.#member.role !== "primary";
+  }
+
+  #fail(error: string): readonly [string] {
+    if (this.#state === "T") this.#state = "E";
+    return [error];
+  }
+
+  #end(): void {
+    this.#state = "I";
+    this.#writes = [];
+  }
+
+  #status(): string {
+    const { role, term, log, pausedAt } = this.#member;
+    return `${role} ${term} ${
+      this.#member.position(log.length)
+    } ${pausedAt} 0 0 1`;
+  }
+}
--- /dev/null
+++ b/standins/line_group/group.ts
@@ -0,0 +1,140 @@
+/**
+ * The instances of one group on the line wire, in one process: log, terms,
+ * replication with a lag, promotion.
+ *
+ * @module
+ */
+
+/** One commit. */
+export interface Entry {
+  readonly term: number;
+  readonly number: number;
+  readonly writes: readonly Write[];
+}
+
+/** One write. */
+export interface Write {
+  readonly id: string;
+  readonly item: string;
+  readonly data: string;
+}
+
+/** How an instance can be reached. */
+export type Reach = "up" | "dead" | "dark";
+
+/** State of one instance. */
+export class Member {
+  readonly id: string;
+  role: "primary" | "replica" = "replica";
+  term = 1;
+  /** What it has received. */
+  log: Entry[] = [];
+  /** Entries of the log that its data show. */
+  applied = 0;
+  pausedAt = 0;
+  reach: Reach = "up";
+  /** It receives nothing, though it serves. */
+  deaf = false;
+  leaving = false;
+
+  constructor(id: string) {
+    this.id = id;
+  }
+
+  /** The value of an item in the data. */
+  read(item: string): string {
+    for (let index = this.applied - 1; index >= 0; index -= 1) {
+      const write = this.log[index]!.writes.findLast((one) =>
+        one.item === item
+      );
+      if (write) return write.data;
+    }
+    return "-";
+  }
+
+  /** Whether the data show a position. */
+  shows(term: number, number: number): boolean {
+    const last = this.log[this.applied - 1];
+    if (!last) return number === 0;
+    return last.term > term || (last.term === term && last.number >= number);
+  }
+
+  /** Position of the last entry of a part of the log. */
+  position(count: number): string {
+    const last = this.log[count - 1];
+    return last ? `${last.term}.${last.number}` : `${this.term}.0`;
+  }
+}
+
+/** The group. */
+export class Group {
+  readonly members: readonly Member[];
+  readonly #lag: number;
+  readonly #promoteTime: number;
+
+  /** `lag` and `promoteTime` are in ms. */
+  constructor(ids: readonly string[], lag: number, promoteTime: number) {
+    this.members = ids.map((id) => new Member(id));
+    this.members[0]!.role = "primary";
+    this.#lag = lag;
+    this.#promoteTime = promoteTime;
+  }
+
+  member(id: string): Member | undefined {
+    return this.members.find((member) => member.id === id);
+  }
+
+  /** Commits at a primary and replicates. */
+  commit(primary: Member, writes: readonly Write[]): void {
+    const number = (primary.log.at(-1)?.number ?? 0) + 1;
+    const entry = { term: primary.term, number, writes };
+    primary.log.push(entry);
+    primary.applied = primary.log.length;
+    for (const member of this.members) this.#replicate(primary, member);
+  }
+
+  /** Makes an instance the primary of the next term, with what it has received. */
+  async promote(member: Member): Promise<boolean> {
+    if (member.reach !== "up") return false;
+    if (member.role === "primary") return true;
+    await new Promise((resolve) => setTimeout(resolve, this.#promoteTime));
+    const term = Math.max(...this.members.map((one) => one.term)) + 1;
+    const olds = this.members.filter((one) => one.role === "primary");
+    member.role = "primary";
+    member.term = term;
+    member.pausedAt = 0;
+    member.applied = member.log.length;
+    for (const old of olds) this.#follow(old, member);
+    for (const other of this.members) {
+      if (other.role === "replica") this.#replicate(member, other);
+    }
+    return true;
+  }
+
+  /** An old primary becomes a replica once it can be reached by the new one. */
+  #follow(old: Member, primary: Member): void {
+    const timer = setInterval(() => {
+      if (old.reach !== "up") return;
+      clearInterval(timer);
+      if (old.term >= primary.term) return;
+      old.role = "replica";
+      this.#replicate(primary, old);
+    }, 200);
+  }
+
+  #replicate(primary: Member, member: Member): void {
+    if (member === primary || member.role === "primary") return;
+    if (member.deaf || member.pausedAt > primary.term) return;
+    if (member.reach !== "up" || primary.reach !== "up") return;
+    member.term = primary.term;
+    member.log = [...primary.log];
+    member.applied = Math.min(member.applied, member.log.length);
+    const count = member.log.length;
+    setTimeout(() => {
+      member.applied = Math.max(
+        member.applied,
+        Math.min(count, member.log.length),
+      );
+    }, this.#lag);
+  }
+}
--- /dev/null
+++ b/standins/metadata_store/main.ts
@@ -0,0 +1,176 @@
+/**
+ * Stand-in of the users' platform: the metadata store and the call that
+ * promotes. It has one door for each host, so that a fault can concern one host
+ * alone, and a door of the operator's that never fails.
+ *
+ * @module
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { z } from "zod";
+import {
+  announceReady,
+  daemonFlags,
+  listen,
+  readFlags,
+  stopOnSignal,
+} from "../common/daemon.ts";
+import { Rows, type Transaction } from "./rows.ts";
+
+/** How a door behaves. */
+type Mode = "up" | "silent" | "busy" | "reset" | "lost";
+
+const LONGEST_WAIT_MS = 30_000;
+
+const flags = readFlags({
+  ...daemonFlags,
+  /** Doors for hosts, besides the operator's. */
+  doors: z.coerce.number().int().min(1).default(2),
+});
+const rows = new Rows();
+const modes: Mode[] = [];
+/** Control address of each group, for promotions. */
+const groups = new Map<string, string>();
+const promotions: Record<string, unknown>[] = [];
+
+const control = createServer((request, response) =>
+  void serveControl(request, response)
+);
+const { port } = await listen(control, flags.address, flags.port);
+const doors: Server[] = [];
+const doorPorts: number[] = [];
+for (let index = 0; index < flags.doors; index += 1) {
+  const door = createServer((request, response) =>
+    void serveDoor(index, request, response)
+  );
+  modes.push("up");
+  doors.push(door);
+  doorPorts.push((await listen(door, flags.address, 0)).port);
+}
+stopOnSignal(() => {
+  for (const server of [control, ...doors]) server.closeAllConnections();
+});
+announceReady(flags.address, port, { doors: doorPorts });
+
+async function serveDoor(
+  index: number,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const body = await readBody(request);
+  const mode = modes[index]!;
+  if (mode === "silent") return;
+  if (mode === "reset") return void request.socket.resetAndDestroy();
+  if (mode === "busy") return reply(response, 503, {});
+  const answer = await serveStore(request, body);
+  // A door may be shut while a call waits.
+  if (modes[index] === "silent") return;
+  if (mode === "lost" && request.method === "POST") {
+    return void request.socket.destroy();
+  }
+  reply(response, answer.status, answer.body);
+}
+
+async function serveStore(
+  request: IncomingMessage,
+  body: unknown,
+): Promise<{ readonly status: number; readonly body: unknown }> {
+  const url = new URL(request.url ?? "/", "http://store");
+  const state = () => ({
+    ver: rows.version,
+    nowMs: Math.round(performance.now()),
+  });
+  if (url.pathname === "/api/rows-tx") {
+    const broken = rows.apply(body as Transaction);
+    if (broken) return { status: 412, body: { rows: broken, ...state() } };
+    return { status: 200, body: state() };
+  }
+  const table = url.searchParams.get("table") ?? "";
+  if (url.pathname === "/api/rows-get") {
+    const found = rows.read(table, url.searchParams.get("from") ?? "");
+    return { status: 200, body: { rows: found, hasMore: false, ...state() } };
+  }
+  if (url.pathname === "/api/rows-feed") return await serveFeed(url, table);
+  if (url.pathname === "/promote") return await promote(request, body);
+  return { status: 404, body: {} };
+}
+
+async function serveFeed(
+  url: URL,
+  table: string,
+): Promise<{ readonly status: number; readonly body: unknown }> {
+  const after = Number(url.searchParams.get("after"));
+  const wait = Number(url.searchParams.get("waitMs") ?? 0);
+  const until = performance.now() + Math.min(wait, LONGEST_WAIT_MS);
+  for (;;) {
+    const found = rows.changes(table, after);
+    if (!found) return { status: 410, body: {} };
+    const left = until - performance.now();
+    if (found.length > 0 || left <= 0) {
+      const nowMs = Math.round(performance.now());
+      return { status: 200, body: { rows: found, ver: rows.version, nowMs } };
+    }
+    await rows.wait(left);
+  }
+}
+
+async function promote(
+  request: IncomingMessage,
+  body: unknown,
+): Promise<{ readonly status: number; readonly body: unknown }> {
+  const { service, id } = body as { service: string; id: string };
+  const order = {
+    service,
+    id,
+    holder: request.headers["marjoramshed-lease-holder"],
+    token: Number(request.headers["marjoramshed-fencing-token"]),
+  };
+  promotions.push(order);
+  const address = groups.get(service);
+  if (!address) return { status: 409, body: {} };
+  const done = await fetch(`http://${address}/promote/${id}`, {
+    method: "POST",
+  });
+  return { status: done.status, body: {} };
+}
+
+/** The test's own door: rows of the operator and the instances, modes, and what was ordered. */
+async function serveControl(
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const body = await readBody(request) as {
+    readonly transaction?: Transaction;
+    readonly modes?: readonly Mode[];
+    readonly groups?: Readonly<Record<string, string>>;
+    readonly forget?: boolean;
+  };
+  if (body?.transaction) rows.apply(body.transaction);
+  body?.modes?.forEach((mode, index) => {
+    modes[index] = mode;
+  });
+  for (const [name, address] of Object.entries(body?.groups ?? {})) {
+    groups.set(name, address);
+  }
+  if (body?.forget) rows.forget();
+  reply(response, 200, {
+    promotions,
+    rows: rows.read("marjoramshed", ""),
+  });
+}
+
+async function readBody(request: IncomingMessage): Promise<unknown> {
+  const parts: Buffer[] = [];
+  for await (const part of request) parts.push(part);
+  const text = Buffer.concat(parts).toString("utf8");
+  return text === "" ? undefined : JSON.parse(text);
+}
+
+function reply(response: ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/standins/metadata_store/rows.ts
@@ -0,0 +1,108 @@
+/**
+ * The rows of the metadata store's stand-in: versions, conditions, history.
+ *
+ * @module
+ */
+
+/** A row on the wire. */
+export interface WireRow {
+  readonly table: string;
+  readonly part: string;
+  readonly key: string;
+  readonly value?: string;
+  readonly ver: number;
+  readonly deleted?: boolean;
+}
+
+/** A row's place. */
+export interface Place {
+  readonly table: string;
+  readonly part?: string;
+  readonly key: string;
+}
+
+/** A transaction as it is sent. */
+export interface Transaction {
+  readonly precondition?: readonly (Place & { readonly ver: number })[];
+  readonly puts?: readonly (Place & { readonly value: string })[];
+  readonly remove?: readonly Place[];
+}
+
+/** All rows, and the changes of the past. */
+export class Rows {
+  readonly #rows = new Map<string, WireRow>();
+  #history: WireRow[] = [];
+  /** Version up to which the history is gone. */
+  #forgotten = 0;
+  #version = 0;
+  readonly #waiters = new Set<() => void>();
+
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Applies a transaction; gives the rows in the way when a condition does not hold. */
+  apply(transaction: Transaction): readonly WireRow[] | undefined {
+    const broken = (transaction.precondition ?? []).filter((place) =>
+      (this.#rows.get(keyOf(place))?.ver ?? 0) !== place.ver
+    );
+    if (broken.length > 0) {
+      return broken.flatMap((place) => this.#rows.get(keyOf(place)) ?? []);
+    }
+    this.#version += 1;
+    for (const put of transaction.puts ?? []) {
+      this.#note({ ...put, part: put.part ?? "", ver: this.#version });
+    }
+    for (const place of transaction.remove ?? []) {
+      if (!this.#rows.has(keyOf(place))) continue;
+      const { table, key, part = "" } = place;
+      this.#note({ table, part, key, ver: this.#version, deleted: true });
+    }
+    for (const wake of [...this.#waiters]) wake();
+    return undefined;
+  }
+
+  /** The rows of a table from a key on. */
+  read(table: string, from: string): readonly WireRow[] {
+    return [...this.#rows.values()]
+      .filter((row) => row.table === table && row.key >= from)
+      .sort((a, b) => a.key < b.key ? -1 : 1);
+  }
+
+  /** Changes of a table after a version; undefined when they are forgotten. */
+  changes(table: string, after: number): readonly WireRow[] | undefined {
+    if (after < this.#forgotten) return undefined;
+    return this.#history.filter((row) =>
+      row.table === table && row.ver > after
+    );
+  }
+
+  /** Waits for the next transaction, for up to a time in ms. */
+  wait(duration: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = () => {
+        clearTimeout(timer);
+        this.#waiters.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, duration);
+      this.#waiters.add(wake);
+    });
+  }
+
+  /** Drops the history. */
+  forget(): void {
+    this.#history = [];
+    this.#forgotten = this.#version;
+  }
+
+  #note(row: WireRow): void {
+    if (row.deleted) this.#rows.delete(keyOf(row));
+    else this.#rows.set(keyOf(row), row);
+    this.#history.push(row);
+  }
+}
+
+function keyOf({ table, part, key }: Place): string {
+  return `${table}\0${part ?? ""}\0${key}`;
+}
