Leadership: a round asks every instance, and a leader that shows a later term has lost its reign

The primary had become a replica of term 2, its answers carried that term, and the proxy took it for the term of the reign (leader-round lines with term 2, confirmed). Besides, one unpaused replica was enough, though a promotion ends the pauses before the third replica hears of it.

Ruled out: leases (the proxies had none), lost replies, the holder.

A round now needs the leader to say that it leads, and every other instance to follow a term no later, unpaused. The price: while the store is away, a dead replica stops the primary's work of its group.

--- a/src/plugins/leadership/group_leadership.ts
+++ b/src/plugins/leadership/group_leadership.ts
@@ -37,7 +37,6 @@
   confirm(
     group: string,
     leader: Leader,
-    term: number,
     deadline: number,
   ): Promise<boolean>;
 }
@@ -80,8 +79,10 @@
   /** The newest confirmation before the change was known. */
   #steadyConfirmedAt = -Infinity;
   #lastEpoch = "";
-  /** Highest term seen in answers of the leader. */
+  /** Term that the leader's answers have shown in this reign. */
   #term = 0;
+  /** The leader has shown a later term than its own: it follows another primary. */
+  #replaced = false;
   #heardAt = -Infinity;
 
   constructor(options: GroupLeadershipOptions) {
@@ -93,10 +94,9 @@
     return this.#options.group;
   }
 
-  /** Highest term under which the group is known to be led. */
+  /** Term of the present reign; 0 while it is not known. */
   get term(): number {
-    const record = this.#record;
-    return Math.max(this.#term, record?.value.term ?? 0);
+    return this.#record?.value.term || this.#term;
   }
 
   /** Monotonic ms of the leader's last answer to this proxy. */
@@ -125,7 +125,7 @@
     if (!instance) return undefined;
     const epoch = `${this.#record?.version ?? 0}:${instance}`;
     if (epoch !== this.#lastEpoch) this.#begin(epoch);
-    return { instance, epoch };
+    return this.#replaced ? undefined : { instance, epoch };
   }
 
   /** Waits for a leader that new work may use, until the deadline (monotonic ms). */
@@ -152,7 +152,16 @@
   /** Notes an answer of the leader. */
   heard(term: number | undefined): void {
     this.#heardAt = performance.now();
-    if (term !== undefined && term > this.#term) this.#term = term;
+    if (term === undefined) return;
+    if (this.term === 0) this.#term = term;
+    if (term <= this.term || this.#replaced) return;
+    this.#replaced = true;
+    this.#options.log.write(Events.FORMER_PRIMARY_RETURNED, {
+      group: this.group,
+      epoch: this.#lastEpoch,
+      term,
+      reign: this.term,
+    });
   }
 
   /** Whether an answer of this reign that has come by now may be passed on without asking anybody. */
@@ -196,7 +205,7 @@
 
   /** Whether the reign is the present one, or the one that a planned change lets end its work. */
   #isCurrent(epoch: string): boolean {
-    if (epoch !== this.#lastEpoch) return false;
+    if (epoch !== this.#lastEpoch || this.#replaced) return false;
     if (!this.changing) {
       const instance = this.primary;
       return epoch === `${this.#record?.version ?? 0}:${instance}`;
@@ -225,7 +234,7 @@
   async #round(leader: Leader, deadline: number): Promise<boolean> {
     if (this.changing) return false;
     const { rounds } = this.#options;
-    return await rounds.confirm(this.group, leader, this.term, deadline);
+    return await rounds.confirm(this.group, leader, deadline);
   }
 
   #begin(epoch: string): void {
@@ -233,6 +242,8 @@
     this.#lastEpoch = epoch;
     this.#closingSince = -Infinity;
     this.#released = false;
+    this.#replaced = false;
+    this.#term = 0;
     this.#heardAt = -Infinity;
     this.#options.log.write(Events.PRIMARY_FOUND, {
       group: this.group,
--- a/src/plugins/leadership/instance_rounds.ts
+++ b/src/plugins/leadership/instance_rounds.ts
@@ -5,9 +5,11 @@
  *
  * @module
  */
+import type { Result } from "neverthrow";
 import { type EventLog, Events } from "../../kernel/events.ts";
 import { type LinkLender, withLink } from "../connections/upstream_pools.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
+import type { LinkStatus } from "../upstream/link.ts";
 import type { Leader, StatusRounds } from "./group_leadership.ts";
 
 /** Least time between the beginnings of two rounds of a group, in ms; bounds the slots that rounds take. */
@@ -41,13 +43,12 @@
   async confirm(
     group: string,
     leader: Leader,
-    term: number,
     deadline: number,
   ): Promise<boolean> {
     const rounds = this.#groups.get(group) ?? { begunAt: -Infinity };
     this.#groups.set(group, rounds);
     // A round under way may have been answered before the caller's own answer came.
-    rounds.next ??= this.#begin(rounds, group, leader, term);
+    rounds.next ??= this.#begin(rounds, group, leader);
     const outcome = rounds.next;
     const timeout = new Promise<boolean>((resolve) => {
       setTimeout(
@@ -62,53 +63,60 @@
     rounds: Rounds,
     group: string,
     leader: Leader,
-    term: number,
   ): Promise<boolean> {
     await rounds.running;
     const pause = rounds.begunAt + ROUND_INTERVAL_MS - performance.now();
     if (pause > 0) await new Promise((resolve) => setTimeout(resolve, pause));
     rounds.next = undefined;
     rounds.begunAt = performance.now();
-    const running = this.#round(group, leader, term);
+    const running = this.#round(group, leader);
     rounds.running = running;
     return await running;
   }
 
-  async #round(group: string, leader: Leader, term: number): Promise<boolean> {
-    const others = this.#options.directory.group(group)
-      .filter(({ id }) => id !== leader.instance);
+  /**
+   * The leader must say that it leads, and every other instance that it follows
+   * a term no later and is not paused. One that was not heard may be the new
+   * primary; one that has heard of no promotion proves nothing alone, since a
+   * promotion ends its pause before its new primary reaches it.
+   */
+  async #round(group: string, leader: Leader): Promise<boolean> {
+    const instances = this.#options.directory.group(group);
     const deadline = performance.now() + ROUND_TIMEOUT_MS;
-    const answers = others.map(({ id }) => this.#ask(id, term, deadline));
-    const confirmed = await firstTrue(answers);
+    const answers = await Promise.all(
+      instances.map(({ id }) => this.#ask(id, deadline)),
+    );
+    const statuses = answers.map((status) => status.unwrapOr(undefined));
+    const own =
+      statuses[instances.findIndex(({ id }) => id === leader.instance)];
+    const others = statuses.filter((status) => status !== own);
+    const confirmed = own?.role === "primary" && others.length > 0 &&
+      others.every((status) =>
+        status?.role === "replica" && status.term <= own.term &&
+        status.pausedAt <= own.term
+      );
     this.#options.log.write(Events.LEADER_ROUND, {
       group,
       leader: leader.instance,
-      term,
-      asked: others.length,
+      answers: instances.map(({ id }, index) => {
+        const status = statuses[index];
+        if (!status) return `${id} none`;
+        return `${id} ${status.role} ${status.term} paused ${status.pausedAt}`;
+      }),
       confirmed,
     });
     return confirmed;
   }
 
-  async #ask(id: string, term: number, deadline: number): Promise<boolean> {
-    const status = await withLink(
+  #ask(
+    id: string,
+    deadline: number,
+  ): Promise<Result<LinkStatus, { readonly reason: string }>> {
+    return withLink(
       this.#options.pools,
       id,
       deadline,
       (link) => link.status(deadline),
     );
-    if (status.isErr()) return false;
-    const { pausedAt, role } = status.value;
-    return role === "replica" && status.value.term <= term && pausedAt <= term;
   }
 }
-
-/** Resolves true with the first of the promises that does, false when none does. */
-function firstTrue(answers: readonly Promise<boolean>[]): Promise<boolean> {
-  return new Promise((resolve) => {
-    for (const answer of answers) {
-      void answer.then((value) => value && resolve(true));
-    }
-    void Promise.all(answers).then(() => resolve(false));
-  });
-}
--- a/test/platform/leadership_test.ts
+++ b/test/platform/leadership_test.ts
@@ -153,6 +153,16 @@
     });
   });
 
+  it("ends when the leader shows a later term than its own, since it follows another then", () => {
+    const { leadership } = createProxy("a", new FakeStore());
+    const leader = leadership.current()!;
+    leadership.heard(1);
+    expect(leadership.isConfirmed(leader.epoch)).toEqual(true);
+    leadership.heard(2);
+    expect(leadership.isConfirmed(leader.epoch)).toEqual(false);
+    expect(leadership.current()).toEqual(undefined);
+  });
+
   it("ends the statements at a primary that was not heard of late", async () => {
     const store = new FakeStore();
     const proxy = createProxy("a", store);
--- /dev/null
+++ b/test/platform/rounds_test.ts
@@ -0,0 +1,78 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { errAsync, ok, okAsync } from "neverthrow";
+import { createEventLog } from "../../src/kernel/events.ts";
+import { createFailure, ResultCodes } from "../../src/kernel/result_codes.ts";
+import { InstanceDirectory } from "../../src/plugins/deployment/instance_directory.ts";
+import { InstanceRounds } from "../../src/plugins/leadership/instance_rounds.ts";
+import type {
+  LinkStatus,
+  UpstreamLink,
+} from "../../src/plugins/upstream/link.ts";
+
+type Answer = Pick<LinkStatus, "role" | "term" | "pausedAt">;
+
+/** Confirms leader `p` when the instances answer like this; one without an answer can't be reached. */
+async function confirm(
+  answers: Readonly<Record<string, Answer>>,
+): Promise<boolean> {
+  const directory = new InstanceDirectory();
+  directory.replaceAll(["p", "r1", "r2"].map((id) => ({
+    id,
+    group: "ledger",
+    host: "10.0.0.1",
+    port: 1,
+    zone: "zagreb-a",
+    leaving: false,
+    claimsPrimary: id === "p",
+    startedAt: 0,
+  })));
+  const link = (answer: Answer) =>
+    ({
+      status: () => Promise.resolve(ok(answer)),
+      release: () => {},
+    }) as unknown as UpstreamLink;
+  const rounds = new InstanceRounds({
+    directory,
+    pools: {
+      acquire: (id) => {
+        const answer = answers[id];
+        return answer ? okAsync(link(answer)) : errAsync(
+          createFailure(ResultCodes.UPSTREAM_UNREACHABLE, `${id} is dead`),
+        );
+      },
+    },
+    log: createEventLog("silent", {}),
+  });
+  const leader = { instance: "p", epoch: "0:p" };
+  return await rounds.confirm("ledger", leader, performance.now() + 500);
+}
+
+const leads: Answer = { role: "primary", term: 1, pausedAt: 0 };
+const follows: Answer = { role: "replica", term: 1, pausedAt: 0 };
+
+describe("a status round", () => {
+  it("confirms a leader that all others follow", async () => {
+    expect(await confirm({ p: leads, r1: follows, r2: follows }))
+      .toEqual(true);
+  });
+
+  it("confirms no leader while another instance is paused at a later term", async () => {
+    const paused = { ...follows, pausedAt: 2 };
+    expect(await confirm({ p: leads, r1: follows, r2: paused }))
+      .toEqual(false);
+  });
+
+  it("confirms no leader that has become a replica of a later term", async () => {
+    const demoted: Answer = { role: "replica", term: 2, pausedAt: 0 };
+    expect(await confirm({ p: demoted, r1: demoted, r2: demoted }))
+      .toEqual(false);
+  });
+
+  it("confirms no leader when another was promoted and the third has not heard of it", async () => {
+    const promoted: Answer = { role: "primary", term: 2, pausedAt: 0 };
+    expect(await confirm({ p: leads, r1: promoted, r2: follows }))
+      .toEqual(false);
+    expect(await confirm({ p: leads, r2: follows })).toEqual(false);
+  });
+});
