Leadership: proxies that are gone are found before a change has to wait for them

A later life of a holder gives its change up to others at once.

Ruled out: heartbeats in the store (priced, and they grow with the hosts).

--- a/src/plugins/leadership/coordination.ts
+++ b/src/plugins/leadership/coordination.ts
@@ -19,6 +19,8 @@
   readonly term: number;
   /** Proxy that ordered the last change. */
   readonly holder: string;
+  /** Life of that proxy; a later life knows nothing of the change. */
+  readonly holderLife: string;
   /** A change that waits for running work and loses nothing. */
   readonly planned: boolean;
   /** Instance chosen to take over, once it is. */
@@ -33,6 +35,8 @@
 export interface HostRecord {
   /** Tells two lives under the same name apart. */
   readonly incarnation: string;
+  /** Where other proxies ask whether it lives, `host:port`. */
+  readonly address: string;
   /** Store's clock, in ms, at which others found that it does not answer; it must write its row anew. */
   readonly absentSince?: number;
 }
@@ -69,6 +73,8 @@
 
 /** The shared rows as this proxy last saw them, and the calls that change them. */
 export interface Coordination {
+  /** This life of this proxy. */
+  readonly incarnation: string;
   group(name: string): Versioned<GroupRecord> | undefined;
   /** Proxies by name. */
   hosts(): ReadonlyMap<string, Versioned<HostRecord>>;
--- a/src/plugins/leadership/primary_change.ts
+++ b/src/plugins/leadership/primary_change.ts
@@ -22,6 +22,7 @@
 import type {
   Coordination,
   GroupRecord,
+  HostRecord,
   PromotionOrder,
 } from "./coordination.ts";
 import {
@@ -141,6 +142,7 @@
       primary,
       term: leadership.term,
       holder: proxy,
+      holderLife: coordination.incarnation,
       planned: this.#reason.planned,
       expiresAt: coordination.clock() + CHANGE_TIME_MS,
       operation: randomUUID(),
@@ -169,23 +171,24 @@
     const missing = () =>
       [...coordination.hosts()]
         .filter(([name, { value }]) => {
-          const since = value.absentSince;
-          if (
-            since !== undefined &&
-            coordination.clock() - since > LEASE_EXPIRY_WAIT_MS
-          ) return false;
+          if (isLongAbsent(value, coordination.clock())) return false;
           const heeded = coordination.acknowledgement(leadership.group, name);
           return heeded?.version !== this.#version;
         })
         .map(([name]) => name);
     while (missing().length > 0 && performance.now() < until) await pause();
-    const absent = missing();
+    const unheard = missing();
+    // A proxy that is long absent has no lease, but may go on with rounds.
+    const absent = [...coordination.hosts()]
+      .filter(([, { value }]) => value.absentSince !== undefined)
+      .map(([name]) => name);
     this.#write(Events.CHANGE_AWAITED, {
       version: this.#version,
       proxies: coordination.hosts().size,
+      unheard,
       absent,
     });
-    return absent;
+    return [...new Set([...unheard, ...absent])];
   }
 
   /** Whether a proxy has had an answer of the primary just before it heeded the change. */
@@ -334,6 +337,7 @@
         primary,
         term,
         holder: proxy,
+        holderLife: coordination.incarnation,
         planned: this.#reason.planned,
         expiresAt: this.#record!.expiresAt,
         operation: randomUUID(),
@@ -398,6 +402,13 @@
   }
 }
 
+/** Whether a proxy was marked absent so long ago that it holds no lease. */
+function isLongAbsent(host: HostRecord, clock: number): boolean {
+  const { absentSince } = host;
+  return absentSince !== undefined &&
+    clock - absentSince > LEASE_EXPIRY_WAIT_MS;
+}
+
 function pause(): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, POLL_MS));
 }
--- a/src/plugins/leadership/succession.ts
+++ b/src/plugins/leadership/succession.ts
@@ -12,7 +12,11 @@
 } from "../connections/upstream_pools.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
 import type { RoutesInForce } from "../deployment/routes.ts";
-import type { Coordination, PromotionOrder } from "./coordination.ts";
+import type {
+  Coordination,
+  GroupRecord,
+  PromotionOrder,
+} from "./coordination.ts";
 import { GroupLeadership, type StatusRounds } from "./group_leadership.ts";
 import { type ChangeReason, PrimaryChange } from "./primary_change.ts";
 import { PrimaryDoubt } from "./primary_doubt.ts";
@@ -179,7 +183,7 @@
     const { leadership, doubt } = group;
     const record = coordination.group(leadership.group);
     if (record?.value.phase === "changing") {
-      if (coordination.clock() < record.value.expiresAt) return undefined;
+      if (!this.#isExpired(record.value)) return undefined;
       return {
         planned: record.value.planned,
         text: `${record.value.holder} did not end its change in time`,
@@ -201,6 +205,15 @@
     return { planned: true, text: `${primary} is leaving` };
   }
 
+  /** Whether whoever holds a change will not end it. */
+  #isExpired(record: GroupRecord): boolean {
+    const { coordination } = this.#options;
+    if (coordination.clock() >= record.expiresAt) return true;
+    const holder = coordination.hosts().get(record.holder);
+    return holder !== undefined &&
+      holder.value.incarnation !== record.holderLife;
+  }
+
   /** How long this proxy waits for another one to begin. */
   #headStart(group: Group): number {
     const { coordination, proxy } = this.#options;
--- a/test/platform/documents_test.ts
+++ b/test/platform/documents_test.ts
@@ -24,6 +24,7 @@
   ip: "10.1.0.8",
   zone: "zagreb-a",
   zones: { "zagreb-a": "zagreb" },
+  internalPortRange: [7440, 7455],
   listenAddrs: { frontend: "10.1.0.8:8784", ready: "10.1.0.8:8785" },
   limits: { memoryMb: 350, maxFds: 4300 },
   bounds: { graceS: 6 },
--- a/test/platform/leadership_test.ts
+++ b/test/platform/leadership_test.ts
@@ -40,6 +40,7 @@
   primary: "p",
   term: 1,
   holder: "b",
+  holderLife: "b",
   planned: false,
   expiresAt: 1e12,
   operation: "x",
