--- a/src/plugins/sessions/caller_session.ts
+++ b/src/plugins/sessions/caller_session.ts
@@ -42,6 +42,8 @@
   /** The route that the open transaction follows. */
   #route: Route | undefined;
   #busy = false;
+  /** Monotonic ms of the last answer. */
+  #answeredAt = performance.now();
   #idleTimer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -54,9 +56,10 @@
     this.#database = database;
   }
 
-  /** Whether nothing is under way: no statement and no transaction. */
-  get idle(): boolean {
-    return !this.#busy && this.#state === "idle";
+  /** For how long, in ms, nothing has been under way, neither a statement nor a transaction; 0 while something is. */
+  get idleTime(): number {
+    if (this.#busy || this.#state !== "idle") return 0;
+    return performance.now() - this.#answeredAt;
   }
 
   /** Whether a transaction rests between two statements. */
@@ -64,7 +67,7 @@
     return !this.#busy && this.#state !== "idle";
   }
 
-  /** Answers statements until the caller goes or this proxy stops. */
+  /** Answers statements until the caller goes or its connection is closed. */
   async run(): Promise<void> {
     for (;;) {
       const request = await this.#channel.next();
@@ -73,7 +76,7 @@
       this.#busy = true;
       await this.#handle(request);
       this.#busy = false;
-      if (this.#context.stopping() && this.#state === "idle") break;
+      this.#answeredAt = performance.now();
       this.#watchIdle();
     }
     this.endTransaction();
--- a/src/plugins/sessions/session_context.ts
+++ b/src/plugins/sessions/session_context.ts
@@ -25,8 +25,6 @@
   samples(group: string): PrimarySamples;
   readonly log: EventLog;
   readonly requests: RequestLog;
-  /** Whether this proxy is stopping. */
-  stopping(): boolean;
 }
 
 /** What belongs to one session and moves with it from connection to connection. */
--- a/test/platform/faults_test.ts
+++ b/test/platform/faults_test.ts
@@ -213,6 +213,27 @@
       reader.close();
     });
 
+    it("that is stopped closes no session whose caller is in the middle of an operation", async () => {
+      deployment = await Deployment.start();
+      const [host] = deployment.hosts;
+      const callers = await Promise.all(
+        [1, 2, 3, 4].map(() => deployment.open(0, "booking")),
+      );
+      host!.signal("SIGTERM");
+      const begun = performance.now();
+      await Promise.all(callers.map(async (caller, index) => {
+        for (let turn = 0; performance.now() - begun < 2_000; turn += 1) {
+          await caller.run(`SET turn ${turn}`);
+          await caller.run(`PREPARE s${index} WRITE shape`);
+          const answer = await caller.run(`EXECUTE s${index} during x`);
+          expect(answer.error).toEqual(undefined);
+          await sleep(20);
+        }
+      }));
+      expect(await host!.ended()).toEqual(0);
+      await eventually(() => callers.every(({ closed }) => closed));
+    });
+
     it("that was frozen while the primary was replaced serves nothing of the old one", async () => {
       deployment = await Deployment.start();
       const frozen = await deployment.open(1, "booking");
