Leadership: work at a primary waits for a change only as long as one is expected in time

A change's length is now estimated from those seen; what can't be served in time is refused at once with the time after which to return, and an overdue change holds nobody.

--- /dev/null
+++ b/src/plugins/leadership/change_estimate.ts
@@ -0,0 +1,42 @@
+/**
+ * How long work at a primary waits for a change of it. Load that it answers: all
+ * statements of a group's primary arrive while it is replaced; those that can
+ * still be served in time are held, the others are told at once when to return.
+ *
+ * @module
+ */
+
+/** Assumed length of a change before one was seen, in ms: letting go, one promotion of the slower users' databases, and finding out. */
+const FIRST_ESTIMATE_MS = 1_400;
+
+/** Weight of a change that was seen in the estimate. */
+const WEIGHT = 0.5;
+
+/** How much longer than estimated a change may take before nobody is held for it, in ms. */
+const OVERDUE_MS = 500;
+
+/** Estimates the changes of one group's primary. */
+export class ChangeEstimate {
+  #length = FIRST_ESTIMATE_MS;
+  #since: number | undefined;
+
+  /** Notes that the primary can't be used since a time (monotonic ms); the first such time counts. */
+  began(at: number): void {
+    this.#since ??= at;
+  }
+
+  /** Notes that there is a primary to use again. */
+  ended(at: number): void {
+    if (this.#since === undefined) return;
+    const length = Math.min(at - this.#since, 2 * FIRST_ESTIMATE_MS);
+    this.#length += WEIGHT * (length - this.#length);
+    this.#since = undefined;
+  }
+
+  /** Time, in ms, after which a primary is expected; 0 when one may come any moment, undefined when that is not known any more. */
+  left(now: number): number | undefined {
+    const left = (this.#since ?? now) + this.#length - now;
+    if (left < -OVERDUE_MS) return undefined;
+    return Math.max(0, left);
+  }
+}
--- a/src/plugins/leadership/group_leadership.ts
+++ b/src/plugins/leadership/group_leadership.ts
@@ -13,6 +13,7 @@
 import { ClockGap } from "../../kernel/clock_gap.ts";
 import { type EventLog, Events } from "../../kernel/events.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
+import { ChangeEstimate } from "./change_estimate.ts";
 import type { Coordination } from "./coordination.ts";
 
 /**
@@ -58,12 +59,16 @@
 /** An answer of the primary older than this, in ms, does not speak against its death. */
 export const HEARD_WITHIN_MS = 400;
 
+/** Held work asks this often, in ms, whether a leader is still expected in time. */
+const HOLD_LOOK_MS = 100;
+
 /** How long without a confirmation before status rounds are begun, in ms; a store that is merely slow answers within it. */
 const ROUND_AFTER_MS = 150;
 
 /** Leadership of one group. */
 export class GroupLeadership {
   readonly #options: GroupLeadershipOptions;
+  readonly #estimate = new ChangeEstimate();
   readonly #gap = new ClockGap();
   readonly #waiters = new Set<() => void>();
   #gapCount = 0;
@@ -128,12 +133,26 @@
     return this.#replaced ? undefined : { instance, epoch };
   }
 
-  /** Waits for a leader that new work may use, until the deadline (monotonic ms). */
+  /** Time, in ms, after which a leader is expected; undefined when that is not known. */
+  expectedIn(now = performance.now()): number | undefined {
+    return this.#estimate.left(now);
+  }
+
+  /** Waits for a leader that new work may use; undefined at once when none is expected before the deadline (monotonic ms). */
   async usable(deadline: number): Promise<Leader | undefined> {
     for (;;) {
       const leader = this.current();
-      if (leader) return leader;
-      if (!await this.#changed(deadline)) return undefined;
+      const now = performance.now();
+      if (leader) {
+        this.#estimate.ended(now);
+        return leader;
+      }
+      this.#estimate.began(now);
+      const left = this.#estimate.left(now);
+      if (left === undefined || now + left > deadline) return undefined;
+      if (!await this.#changed(Math.min(deadline, now + HOLD_LOOK_MS))) {
+        if (performance.now() >= deadline) return undefined;
+      }
     }
   }
 
--- a/src/plugins/sessions/outcome.ts
+++ b/src/plugins/sessions/outcome.ts
@@ -40,13 +40,20 @@
 }
 
 /** The failure of a group whose primary is being replaced or not known. */
-export function noPrimary(group: string): Failure {
+export function noPrimary(
+  group: string,
+  expectedIn: number | undefined,
+): Failure {
+  const retryAfter = Math.round(expectedIn ?? UNKNOWN_RETRY_MS);
   return createFailure(
     ResultCodes.PRIMARY_ABSENT,
-    `the primary of ${group} is being replaced; retry in 300 ms`,
+    `${group} has no primary now; retry in ${retryAfter} ms`,
   );
 }
 
+/** When to come back while nothing tells when there will be a primary, in ms. */
+const UNKNOWN_RETRY_MS = 1_000;
+
 /** The failure of a read that no instance could serve in time. */
 export function noInstance(group: string, detail: string): Failure {
   return createFailure(
--- a/src/plugins/sessions/read_run.ts
+++ b/src/plugins/sessions/read_run.ts
@@ -233,7 +233,9 @@
   let reason = "";
   while (performance.now() < deadline - LEAST_TIME_MS) {
     const leader = await leadership.usable(deadline);
-    if (!leader) return refused(noPrimary(route.group));
+    if (!leader) {
+      return refused(noPrimary(route.group, leadership.expectedIn()));
+    }
     const leave = leadership.enter();
     try {
       const attempt = await attemptAtPrimary(task, read, leader);
--- a/src/plugins/sessions/transaction.ts
+++ b/src/plugins/sessions/transaction.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
-import type { Failure } from "../../kernel/result_codes.ts";
+import { type Failure, ResultCodes } from "../../kernel/result_codes.ts";
 import type { Leader } from "../leadership/group_leadership.ts";
 import type { Answer, UpstreamLink } from "../upstream/link.ts";
 import type { Position } from "../upstream/position.ts";
@@ -65,13 +65,14 @@
   ): Promise<Result<Transaction, Failure>> {
     const anywhere = readOnly && task.route.consistency !== "primary";
     const excluded = new Set<string>();
-    let failure = noPrimary(task.route.group);
+    let failure = noPrimary(task.route.group, undefined);
     while (performance.now() < task.deadline) {
       const opened = anywhere
         ? await Transaction.#openAnywhere(task, excluded)
         : await Transaction.#openAtPrimary(task, readOnly);
       if (opened.isOk()) return opened;
       failure = opened.error;
+      if (failure.code === ResultCodes.PRIMARY_ABSENT) break;
       await new Promise((resolve) => setTimeout(resolve, REPEAT_PAUSE_MS));
     }
     return err(failure);
@@ -84,7 +85,7 @@
     const { context, route, deadline } = task;
     const leadership = context.succession.leadership(route.group);
     const leader = await leadership.usable(deadline);
-    if (!leader) return err(noPrimary(route.group));
+    if (!leader) return err(noPrimary(route.group, leadership.expectedIn()));
     const leave = leadership.enter();
     const begun = await Transaction.#begin(task, leader.instance, readOnly);
     if (begun.isErr()) {
--- a/src/plugins/sessions/write_run.ts
+++ b/src/plugins/sessions/write_run.ts
@@ -31,10 +31,12 @@
 ): Promise<Outcome> {
   const { context, route, deadline } = task;
   const leadership = context.succession.leadership(route.group);
-  let last: Outcome = refused(noPrimary(route.group));
+  let last: Outcome | undefined;
   while (performance.now() < deadline - LEAST_TIME_MS) {
     const leader = await leadership.usable(deadline);
-    if (!leader) return last;
+    if (!leader) {
+      return last ?? refused(noPrimary(route.group, leadership.expectedIn()));
+    }
     const leave = leadership.enter();
     try {
       const { instance } = leader;
@@ -92,10 +94,10 @@
       return answered(answer);
     } finally {
       leave();
-      if (last.kind === "refused" || last.answer.fault) {
+      if (last) {
         await new Promise((resolve) => setTimeout(resolve, REPEAT_PAUSE_MS));
       }
     }
   }
-  return last;
+  return last ?? refused(noPrimary(route.group, leadership.expectedIn()));
 }
--- /dev/null
+++ b/test/platform/change_estimate_test.ts
@@ -0,0 +1,49 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { ChangeEstimate } from "../../src/plugins/leadership/change_estimate.ts";
+
+/** Plays one arrival every 10 ms during a change; gives how many were held and served, held in vain, and refused. */
+function playChange(
+  estimate: ChangeEstimate,
+  length: number,
+  statementTimeout: number,
+) {
+  let served = 0;
+  let inVain = 0;
+  let refused = 0;
+  estimate.began(0);
+  for (let at = 0; at < length; at += 10) {
+    const left = estimate.left(at);
+    const held = left !== undefined && left <= statementTimeout;
+    if (!held) refused += 1;
+    else if (length - at <= statementTimeout) served += 1;
+    else inVain += 1;
+  }
+  estimate.ended(length);
+  return { served, inVain, refused };
+}
+
+describe("the estimate of a change of primary", () => {
+  it("holds what can be served in time and tells the rest at once, once a change was seen", () => {
+    const estimate = new ChangeEstimate();
+    for (let turn = 0; turn < 8; turn += 1) playChange(estimate, 1_100, 800);
+    const { served, inVain, refused } = playChange(estimate, 1_100, 800);
+    expect(served >= 78).toEqual(true);
+    expect(inVain <= 2).toEqual(true);
+    expect(refused >= 28).toEqual(true);
+  });
+
+  it("holds nobody for a change that is long overdue", () => {
+    const estimate = new ChangeEstimate();
+    const { refused } = playChange(estimate, 9_000, 800);
+    expect(refused > 700).toEqual(true);
+    expect(estimate.left(20_000) !== undefined).toEqual(true);
+  });
+
+  it("is not stretched without bound by one long change", () => {
+    const estimate = new ChangeEstimate();
+    playChange(estimate, 60_000, 800);
+    estimate.began(100_000);
+    expect(estimate.left(100_000)! <= 2_800).toEqual(true);
+  });
+});
