--- a/src/plugins/sessions/request_log.ts
+++ b/src/plugins/sessions/request_log.ts
@@ -16,6 +16,9 @@
 /** One of this many ordinary requests is logged. */
 const SAMPLE_EVERY = 50;
 
+/** An answer that took longer than this, in ms, is always logged: the tightest aim of the users' requests. */
+const LATE_MS = 400;
+
 /** Lines about failed or repeated requests in a second. */
 const LINES_PER_SECOND = 200;
 
@@ -40,6 +43,15 @@
   ): void {
     const elapsed = performance.now() - request.receivedAt;
     this.#metrics.served(effect, elapsed);
+    if (elapsed > LATE_MS) {
+      this.#bounded(Events.REQUEST_LATE, {
+        request: request.id,
+        effect,
+        elapsed: Math.round(elapsed),
+        ...fields(),
+      });
+      return;
+    }
     this.#ordinary += 1;
     if (this.#ordinary % SAMPLE_EVERY !== 0) {
       this.#metrics.omitted();
--- a/test/docs_test.ts
+++ b/test/docs_test.ts
@@ -47,7 +47,7 @@
     const settings = Object.keys(settingsSchema.shape).map((key) =>
       `\`${flagOf(key)}\` | \`${variableOf(key)}\``
     );
-    const rows = readTable("operators.md")
+    const rows = readTable("OPERATIONS.md")
       .map((row) => row.split(" | ").slice(0, 2).join(" | "));
     expect(rows).toEqual(settings.sort());
   });
