A soak of the program on the platform's stand-ins

Random kills, darkness, freezes, stops, a store that is silent, busy, resets or loses replies for some hosts, two at a time; checked: no write twice, no promise broken, no read behind an acknowledged write of the same term, tokens ascending.

The first trial ended in its own readline error, mended.

--- a/standins/line_group/connection.ts
+++ b/standins/line_group/connection.ts
@@ -29,7 +29,10 @@
     this.#name = name;
     this.#socket = socket;
     socket.on("error", () => {});
-    createInterface({ input: socket }).on("line", (line) => this.#take(line));
+    const lines = createInterface({ input: socket });
+    // A caller that is gone says nothing more.
+    lines.on("error", () => {});
+    lines.on("line", (line) => this.#take(line));
   }
 
   #take(line: string): void {
--- /dev/null
+++ b/test/platform/soak_test.ts
@@ -0,0 +1,11 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { runSoak } from "../soak/platform_soak.ts";
+
+describe("a short soak on the platform's stand-ins", () => {
+  it("breaks no promise and serves", async () => {
+    const report = await runSoak({ seed: 1, seconds: 12, hosts: 2 });
+    expect(report.violations).toEqual([]);
+    expect(report.acknowledged > 50).toEqual(true);
+  });
+});
--- /dev/null
+++ b/test/soak/platform_soak.ts
@@ -0,0 +1,232 @@
+/**
+ * A randomized run of the program on the platform's stand-ins: real processes,
+ * faults from outside in series and overlapping, and what must hold checked from
+ * what callers were told and what the instances hold.
+ *
+ * @module
+ */
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { Deployment, type DoorMode } from "../platform/fixtures/deployment.ts";
+import type { LineCaller } from "../platform/fixtures/line_caller.ts";
+
+/** What a run found. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly acknowledged: number;
+  readonly reads: number;
+  readonly promotions: number;
+  /** What was broken, in words; empty when all held. */
+  readonly violations: readonly string[];
+  /** The faults, with their times in ms. */
+  readonly schedule: readonly string[];
+}
+
+/** How long a run is and how large. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly seconds: number;
+  readonly hosts: number;
+}
+
+const WRITERS = 6;
+const SETTLE_MS = 6_000;
+const FAULT_MAX_MS = 4_500;
+const PAUSE_MAX_MS = 1_500;
+
+/** Answers that promise that nothing was kept. */
+const PROMISES: ReadonlySet<string> = new Set([
+  "BUSY",
+  "ABORTED",
+  "LAGGING",
+  "READONLY",
+]);
+
+const sleep = (duration: number) =>
+  new Promise((resolve) => setTimeout(resolve, duration));
+
+/** Runs once. */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+  const deployment = await Deployment.start({ hosts: options.hosts });
+  try {
+    return await new Soak(deployment, options).run();
+  } finally {
+    await deployment.stop();
+  }
+}
+
+class Soak {
+  readonly #deployment: Deployment;
+  readonly #options: SoakOptions;
+  readonly #generator: ReturnType<typeof xoroshiro128plus>;
+  readonly #schedule: string[] = [];
+  readonly #violations: string[] = [];
+  /** Ids that were answered with a promise that nothing was kept. */
+  readonly #promised = new Set<string>();
+  readonly #begun = performance.now();
+  #acknowledged = 0;
+  #reads = 0;
+  #over = false;
+
+  constructor(deployment: Deployment, options: SoakOptions) {
+    this.#deployment = deployment;
+    this.#options = options;
+    this.#generator = xoroshiro128plus(options.seed);
+  }
+
+  async run(): Promise<SoakReport> {
+    const callers = [...Array(WRITERS).keys()].map((index) =>
+      this.#write(index)
+    );
+    while (this.#elapsed() < this.#options.seconds * 1_000) {
+      await Promise.all([this.#fault(), this.#fault()]);
+      await sleep(this.#draw(0, PAUSE_MAX_MS));
+    }
+    await sleep(SETTLE_MS);
+    this.#over = true;
+    await Promise.all(callers);
+    await this.#check();
+    const orders = await this.#deployment.promotions();
+    return {
+      seed: this.#options.seed,
+      acknowledged: this.#acknowledged,
+      reads: this.#reads,
+      promotions: orders.length,
+      violations: this.#violations,
+      schedule: this.#schedule,
+    };
+  }
+
+  #elapsed(): number {
+    return performance.now() - this.#begun;
+  }
+
+  #draw(low: number, high: number): number {
+    return uniformInt(this.#generator, low, high);
+  }
+
+  /** Brings one fault about, and ends it. */
+  async #fault(): Promise<void> {
+    const host = this.#deployment.hosts[
+      this.#draw(0, this.#options.hosts - 1)
+    ]!;
+    const duration = this.#draw(300, FAULT_MAX_MS);
+    const instance = `i-ledger-${this.#draw(0, 2)}`;
+    const kind = this.#draw(0, 6);
+    const note = (what: string) =>
+      this.#schedule.push(
+        `${Math.round(this.#elapsed())} ${what} for ${duration}`,
+      );
+    switch (kind) {
+      case 0:
+      case 1: {
+        const action = kind === 0 ? "kill" : "darken";
+        note(`${action} ${instance}`);
+        await this.#deployment.order(action, instance);
+        await sleep(duration);
+        await this.#deployment.order("revive", instance);
+        return;
+      }
+      case 2:
+        note(`freeze ${host.name}`);
+        host.signal("SIGSTOP");
+        await sleep(duration);
+        host.signal("SIGCONT");
+        return;
+      case 3:
+        note(`kill ${host.name}`);
+        await host.kill();
+        await sleep(200);
+        return await host.start();
+      case 4:
+        note(`stop ${host.name}`);
+        host.signal("SIGTERM");
+        host.signal("SIGHUP");
+        await host.ended();
+        return await host.start();
+      default: {
+        const modes: readonly DoorMode[] = ["silent", "busy", "reset", "lost"];
+        const mode = modes[this.#draw(0, modes.length - 1)]!;
+        const doors = this.#deployment.hosts.map(() =>
+          this.#draw(0, 1) === 0 ? "up" : mode
+        );
+        note(`store ${doors.join(" ")}`);
+        await this.#deployment.doors(...doors);
+        await sleep(duration);
+        await this.#deployment.doors(
+          ...this.#deployment.hosts.map(() => "up" as const),
+        );
+      }
+    }
+  }
+
+  /** One caller: writes its own item and reads it back, on whichever host answers. */
+  async #write(index: number): Promise<void> {
+    const item = `item${index}`;
+    let caller: LineCaller | undefined;
+    let last = -1;
+    let lastTerm = "";
+    for (let turn = 0; !this.#over; turn += 1) {
+      const host = (index + turn) % this.#options.hosts;
+      const id = `w${index}-${turn}`;
+      try {
+        caller ??= await this.#deployment.open(host, "booking");
+        const answer = await caller.run(`WRITE ${item} ${turn}`, id);
+        if (answer.error && PROMISES.has(answer.error)) this.#promised.add(id);
+        if (!answer.error) {
+          this.#acknowledged += 1;
+          last = turn;
+          lastTerm = await this.#term();
+        }
+        const read = await caller.run(`READ ${item}`);
+        if (!read.error) {
+          this.#reads += 1;
+          const seen = read.rows[0] === "-" ? -1 : Number(read.rows[0]);
+          // What a promotion rolls back may be missing afterwards.
+          if (seen < last && await this.#term() === lastTerm) {
+            this.#violations.push(
+              `${id}: read ${seen} after ${last} was acknowledged in term ${lastTerm}`,
+            );
+          }
+        }
+      } catch {
+        // The host or the connection is gone: the next turn takes another.
+        caller?.close();
+        caller = undefined;
+      }
+      await sleep(15);
+    }
+    caller?.close();
+  }
+
+  /** The highest term of the group. */
+  async #term(): Promise<string> {
+    const members = await this.#deployment.members();
+    return String(Math.max(...members.map(({ term }) => term)));
+  }
+
+  async #check(): Promise<void> {
+    const members = await this.#deployment.members();
+    const leading = members.filter(({ role }) => role === "primary")
+      .sort((a, b) => b.term - a.term)[0];
+    if (!leading) return void this.#violations.push("no primary at the end");
+    const counts = new Map<string, number>();
+    for (const { writes } of leading.log) {
+      for (const { id } of writes) counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    for (const [id, count] of counts) {
+      if (count > 1) this.#violations.push(`${id} took effect ${count} times`);
+      if (this.#promised.has(id)) {
+        this.#violations.push(
+          `${id} was kept though it was refused as not run`,
+        );
+      }
+    }
+    const tokens = (await this.#deployment.promotions())
+      .map(({ token }) => token);
+    const sorted = [...tokens].sort((a, b) => a - b);
+    if (tokens.join() !== sorted.join()) {
+      this.#violations.push(`tokens went back: ${tokens.join(" ")}`);
+    }
+  }
+}
