Leadership: a group's row has no candidate

The field was declared and read from the store, but never written or used; the chosen instance is known to the holder alone until the row is settled. Behaviour is the same: a row with the field is read as before, the schema drops it.

Formatter, linter and types clean; leadership_test, host_watch_test, docs_test: 20 passed, 0 failed.

--- a/src/plugins/leadership/coordination.ts
+++ b/src/plugins/leadership/coordination.ts
@@ -23,8 +23,6 @@
   readonly holderLife: string;
   /** A change that waits for running work and loses nothing. */
   readonly planned: boolean;
-  /** Instance chosen to take over, once it is. */
-  readonly candidate?: string;
   /** Store's clock, in ms, until which the holder may go on with a change. */
   readonly expiresAt: number;
   /** Tells two writes of the same content apart, to settle a lost reply. */
