Platform: the host is composed of the kernel's plug-ins

The platform's face made its services by hand in one class, while the PostgreSQL face gets them from plug-ins that register themselves. Services that know no protocol are now registered where they live (deployment, connections, leadership, placement, sessions); platform/ registers the store, the listeners and the instances' connector. The kernel takes services from the process (settings of another kind), and a plug-in that throws at once while it stops no longer keeps the others from stopping (kernel_test, failed before).

Also: the farewell to the store and a log that can't be flushed now say so.

--- a/src/kernel/bounded_log.ts
+++ b/src/kernel/bounded_log.ts
@@ -60,9 +60,11 @@
       try {
         destination.flushSync();
       } catch (error) {
-        // Nobody reads any more, so there is nobody to tell.
-        process.exitCode ??= 0;
-        void error;
+        // Standard output can't take the line that tells of this.
+        const reason = error instanceof Error ? error.message : String(error);
+        process.stderr.write(
+          `marjoramshed: the last log lines are lost: ${reason}\n`,
+        );
       }
     },
   };
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -10,11 +10,11 @@
 /** A long-lived service that a plug-in provides. */
 export interface Service {
   /** Begins work; resolves when others may use the service. */
-  start?(): Promise<void>;
+  start?(): Promise<void> | void;
   /** Refuses new work and lets running work end; the deadline is in ms of `performance.now()`. */
   drain?(deadline: number): Promise<void>;
   /** Releases everything. */
-  stop?(): Promise<void>;
+  stop?(): Promise<void> | void;
 }
 
 /**
@@ -26,6 +26,7 @@
 
 /** What a plug-in gets to make its service. */
 export interface PluginContext {
+  /** The proxy's settings; throws in a process that has settings of another kind. */
   readonly settings: Settings;
   readonly log: EventLog;
   /** Gives another plug-in's service; it must stand in `needs`. */
@@ -52,15 +53,20 @@
 
 /** Starts and stops plug-ins. */
 export class Kernel {
-  readonly #settings: Settings;
+  readonly #settings: Settings | undefined;
   readonly #log: EventLog;
   readonly #services = new Map<string, Service>();
 
-  constructor(settings: Settings, log: EventLog) {
+  constructor(settings: Settings | undefined, log: EventLog) {
     this.#settings = settings;
     this.#log = log;
   }
 
+  /** Adds a service that was made outside, such as a process's own settings. */
+  provide<K extends keyof Services>(name: K, service: Services[K]): void {
+    this.#services.set(name as string, service as Service);
+  }
+
   /** Starts the named plug-ins and all that they need. */
   async start(names: readonly (keyof Services)[]): Promise<void> {
     for (const name of names) await this.#startOne(name as string, []);
@@ -82,10 +88,10 @@
   async stop(deadline: number): Promise<void> {
     const names = [...this.#services.keys()].reverse();
     for (const name of names) {
-      await this.#guard(name, this.#services.get(name)?.drain?.(deadline));
+      await this.#guard(name, (service) => service.drain?.(deadline));
     }
     for (const name of names) {
-      await this.#guard(name, this.#services.get(name)?.stop?.());
+      await this.#guard(name, (service) => service.stop?.());
     }
     this.#services.clear();
   }
@@ -102,8 +108,12 @@
     for (const need of plugin.needs) {
       await this.#startOne(need as string, [...path, name]);
     }
+    const settings = this.#settings;
     const service: Service = plugin.create({
-      settings: this.#settings,
+      get settings() {
+        if (!settings) throw new Error(`plug-in ${name} found no settings`);
+        return settings;
+      },
       log: this.#log,
       use: (other) => {
         if (!plugin.needs.includes(other)) {
@@ -119,9 +129,14 @@
     this.#services.set(name, service);
   }
 
-  async #guard(name: string, work: Promise<void> | undefined): Promise<void> {
+  async #guard(
+    name: string,
+    work: (service: Service) => Promise<void> | void,
+  ): Promise<void> {
+    const service = this.#services.get(name);
+    if (!service) return;
     try {
-      await work;
+      await work(service);
     } catch (error) {
       this.#log.write(Events.PLUGIN_FAILED, {
         plugin: name,
--- /dev/null
+++ b/src/plugins/leadership/plugin.ts
@@ -0,0 +1,71 @@
+/**
+ * Registers the watch over primaries and proxies.
+ *
+ * @module
+ */
+import { registerPlugin } from "../../kernel/kernel.ts";
+import type { Coordination, PromotionOrder } from "./coordination.ts";
+import { HostWatch, type LivenessProbe } from "./host_watch.ts";
+import { InstanceRounds } from "./instance_rounds.ts";
+import { Succession } from "./succession.ts";
+
+declare module "../../kernel/kernel.ts" {
+  interface Services {
+    /** The three below are given by the plug-ins that speak the platform's protocols. */
+    coordination: Coordination;
+    promotionOrder: PromotionOrder;
+    livenessProbe: LivenessProbe;
+    rounds: InstanceRounds;
+    succession: Succession;
+    hostWatch: HostWatch;
+  }
+}
+
+registerPlugin({
+  name: "rounds",
+  needs: ["directory", "pools"],
+  create: ({ log, use }) =>
+    new InstanceRounds({
+      directory: use("directory"),
+      pools: use("pools"),
+      log,
+    }),
+});
+
+registerPlugin({
+  name: "succession",
+  needs: [
+    "place",
+    "routes",
+    "directory",
+    "coordination",
+    "pools",
+    "connector",
+    "rounds",
+    "promotionOrder",
+  ],
+  create: ({ log, use }) =>
+    new Succession({
+      proxy: use("place").proxy,
+      routes: use("routes"),
+      directory: use("directory"),
+      coordination: use("coordination"),
+      pools: use("pools"),
+      connector: use("connector"),
+      rounds: use("rounds"),
+      order: use("promotionOrder"),
+      log,
+    }),
+});
+
+registerPlugin({
+  name: "hostWatch",
+  needs: ["place", "coordination", "livenessProbe"],
+  create: ({ log, use }) =>
+    new HostWatch({
+      proxy: use("place").proxy,
+      coordination: use("coordination"),
+      probe: use("livenessProbe"),
+      log,
+    }),
+});
--- a/src/plugins/metrics/metrics_page.ts
+++ b/src/plugins/metrics/metrics_page.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { createServer, type Server } from "node:http";
+import { type EventLog, Events } from "../../kernel/events.ts";
 import type { UpstreamPools } from "../connections/upstream_pools.ts";
 import type { RequestCounters } from "./request_counters.ts";
 
@@ -23,13 +24,27 @@
   readonly droppedLines: () => number;
 }
 
+/** Where the page is served. */
+export interface MetricsAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
 /** Serves the page at one path of one port. */
 export class MetricsPage {
+  readonly #address: MetricsAddress;
   readonly #sources: MetricsSources;
+  readonly #log: EventLog;
   readonly #server: Server;
 
-  constructor(sources: MetricsSources) {
+  constructor(
+    address: MetricsAddress,
+    sources: MetricsSources,
+    log: EventLog,
+  ) {
+    this.#address = address;
     this.#sources = sources;
+    this.#log = log;
     this.#server = createServer((request, response) => {
       if (request.url !== "/metrics") {
         response.writeHead(404).end();
@@ -40,11 +55,18 @@
     });
   }
 
-  /** Listens; resolves false when the address is not free. */
-  start(host: string, port: number): Promise<boolean> {
+  /** Listens; a proxy whose metrics address is not free serves all the same. */
+  start(): Promise<void> {
+    const { host, port } = this.#address;
     return new Promise((resolve) => {
-      this.#server.once("error", () => resolve(false));
-      this.#server.listen(port, host, () => resolve(true));
+      this.#server.once("error", (error) => {
+        this.#log.write(Events.UNEXPECTED, {
+          where: "metrics page",
+          error: error.message,
+        });
+        resolve();
+      });
+      this.#server.listen(port, host, resolve);
     });
   }
 
--- a/src/plugins/placement/read_placement.ts
+++ b/src/plugins/placement/read_placement.ts
@@ -10,16 +10,10 @@
   InstanceDirectory,
   ListedInstance,
 } from "../deployment/instance_directory.ts";
+import type { Place } from "../deployment/place.ts";
 import type { PrimarySamples } from "../freshness/primary_samples.ts";
 import { comparePositions, type Position } from "../upstream/position.ts";
 
-/** Where this proxy is. */
-export interface Place {
-  readonly zone: string;
-  /** Region of each availability zone. */
-  readonly regions: ReadonlyMap<string, string>;
-}
-
 /** Cost of another availability zone of the region, in ms of waiting. */
 const ZONE_COST_MS = 4;
 
--- a/test/platform/placement_test.ts
+++ b/test/platform/placement_test.ts
@@ -34,6 +34,7 @@
     { group: () => instances },
     { outstanding: (id) => outstanding[id] ?? 0 },
     {
+      proxy: "zagreb-1",
       zone: "zagreb-a",
       regions: new Map([["zagreb-a", "z"], ["split-a", "s"], [
         "osijek-a",
