Placement: a replica that lagged is tried again

Cause: the smoothed lag of a replica changed only with its answers, and a replica whose lag was above the longest wait got no reads, so nothing could show that it had caught up; its reads stayed at the primary for good. Now one read is sent every 400 ms to find out, an answer that shows far less lag ends the old estimate at once, and a lagging answer's own position is used and logged.

placement_test: two tests that failed before.

--- a/src/plugins/placement/read_placement.ts
+++ b/src/plugins/placement/read_placement.ts
@@ -29,9 +29,15 @@
 /** A replica that needs longer than this, in ms, to reach a position is passed over. */
 const LONGEST_CATCH_UP_MS = 400;
 
+/** A replica that is passed over for its lag gets one read after this time, in ms, since only an answer shows that it has caught up. */
+const LAG_TRIAL_MS = 400;
+
 /** Weight of an answer in the smoothed lag. */
 const LAG_WEIGHT = 0.2;
 
+/** An answer that shows less than this part of the smoothed lag ends it: the usual variation of a replica stays above. */
+const LAG_OVER_PART = 0.3;
+
 /** A replica that lacked a position is expected to have it this much later, in ms. */
 const LAG_STEP_MS = 15;
 
@@ -44,6 +50,8 @@
   shown?: Position;
   /** Smoothed time, in ms, by which its data are behind the primary. */
   lag: number;
+  /** Monotonic ms at which the lag was last seen, or a read sent to see it. */
+  lagSeenAt: number;
   failurePause: number;
   avoidUntil: number;
 }
@@ -93,7 +101,7 @@
     let bestCost = Infinity;
     for (const instance of this.#directory.group(request.group)) {
       if (!this.#isUsable(instance, request, now)) continue;
-      const wait = this.#catchUp(instance.id, request, now);
+      const wait = this.#expectedWait(instance.id, request, now);
       if (wait > LONGEST_CATCH_UP_MS) continue;
       const cost = this.#cost(instance, request) + wait;
       if (cost >= bestCost) continue;
@@ -104,10 +112,12 @@
     return best;
   }
 
-  /** An instance that failed gets one read; the others pass it over until that one is answered. */
+  /** An instance that failed or lagged gets one read; the others pass it over until that one is answered. */
   #noteTrial(id: string, now: number): void {
     const observation = this.#observations.get(id);
-    if (!observation || observation.avoidUntil === -Infinity) return;
+    if (!observation) return;
+    if (now - observation.lagSeenAt > LAG_TRIAL_MS) observation.lagSeenAt = now;
+    if (observation.avoidUntil === -Infinity) return;
     observation.avoidUntil = now + observation.failurePause;
   }
 
@@ -123,22 +133,29 @@
     observation.avoidUntil = -Infinity;
     if (!position) return;
     observation.shown = position;
+    observation.lagSeenAt = now;
     const passedAt = samples.passedAt(position);
     const lag = passedAt === undefined ? 0 : now - passedAt;
-    observation.lag += LAG_WEIGHT * (lag - observation.lag);
+    const isOver = lag < LAG_OVER_PART * observation.lag;
+    const weight = isOver ? 1 : LAG_WEIGHT;
+    observation.lag += weight * (lag - observation.lag);
   }
 
-  /** Notes that the instance's data did not show a position. */
+  /** Notes that the instance's data did not show a position, and which one they showed. */
   lagged(
     id: string,
     position: Position,
+    shown: Position | undefined,
     samples: PrimarySamples,
     now = performance.now(),
   ): void {
-    const reachedAt = samples.reachedAt(position);
-    const behind = reachedAt === Infinity ? 0 : now - reachedAt;
     const observation = this.#observation(id);
-    observation.shown = undefined;
+    const reachedAt = shown
+      ? samples.passedAt(shown) ?? now
+      : samples.reachedAt(position);
+    const behind = reachedAt === Infinity ? 0 : now - reachedAt;
+    observation.shown = shown;
+    observation.lagSeenAt = now;
     observation.lag = Math.max(observation.lag, behind) + LAG_STEP_MS;
   }
 
@@ -164,6 +181,14 @@
     return avoidUntil === undefined || avoidUntil <= now;
   }
 
+  /** Time to wait before a read, in ms; none when the read is to find out how far the replica is. */
+  #expectedWait(id: string, request: PlacementRequest, now: number): number {
+    const wait = this.#catchUp(id, request, now);
+    if (wait <= LONGEST_CATCH_UP_MS) return wait;
+    const seenAt = this.#observations.get(id)?.lagSeenAt ?? -Infinity;
+    return now - seenAt > LAG_TRIAL_MS ? 0 : wait;
+  }
+
   /** Time in which a replica is expected to reach the position, in ms. */
   #catchUp(id: string, request: PlacementRequest, now: number): number {
     if (id === request.primary) return 0;
@@ -196,6 +221,7 @@
     if (known) return known;
     const observation: Observation = {
       lag: 0,
+      lagSeenAt: -Infinity,
       failurePause: FAILURE_PAUSE_MS,
       avoidUntil: -Infinity,
     };
--- a/src/plugins/sessions/read_run.ts
+++ b/src/plugins/sessions/read_run.ts
@@ -182,8 +182,9 @@
   }
   if (answer.fault === "lagging") {
     const samples = context.samples(route.group);
-    context.placement.lagged(instance, position, samples);
-    return giveUp(task, instance, "lagging", position);
+    const shown = answer.position;
+    context.placement.lagged(instance, position, shown, samples);
+    return giveUp(task, instance, "lagging", position, shown);
   }
   if (answer.fault) {
     context.placement.failed(instance);
@@ -216,10 +217,12 @@
   instance: string,
   reason: string,
   position: Position | undefined,
+  shown?: Position,
 ): Attempt {
   task.context.requests.attempt(task, instance, reason, {
     group: task.route.group,
     after: position && formatPosition(position),
+    shown: shown && formatPosition(shown),
   });
   return { kind: "again", reason: `${instance}: ${reason}` };
 }
--- a/src/plugins/sessions/transaction.ts
+++ b/src/plugins/sessions/transaction.ts
@@ -172,7 +172,8 @@
     if (answer.state === "idle") link.release();
     else link.destroy();
     if (answer.fault === "lagging" && after) {
-      placement.lagged(instance, after, context.samples(route.group));
+      const samples = context.samples(route.group);
+      placement.lagged(instance, after, answer.position, samples);
     }
     const reason = answer.fault ?? "the transaction is not open";
     context.requests.attempt(task, instance, reason, {});
--- a/test/platform/placement_test.ts
+++ b/test/platform/placement_test.ts
@@ -70,7 +70,7 @@
 
   it("waits for a replica that will have the position soon", () => {
     const { placement, samples, request } = createPlacement();
-    placement.lagged("near", { term: 1, lsn: 9n }, samples, 1_020);
+    placement.lagged("near", { term: 1, lsn: 9n }, undefined, samples, 1_020);
     const choice = placement.choose(
       request({ position: { term: 1, lsn: 9n } }),
       1_020,
@@ -81,7 +81,7 @@
   it("passes over a replica that is far behind", () => {
     const { placement, samples, request } = createPlacement();
     const position = { term: 1, lsn: 9n };
-    placement.lagged("near", position, samples, 3_000);
+    placement.lagged("near", position, undefined, samples, 3_000);
     samples.add({ at: 3_000, position: { term: 1, lsn: 20n } });
     const choice = placement.choose(
       request({ position: { term: 1, lsn: 20n } }),
@@ -90,6 +90,46 @@
     expect(choice?.instance).toEqual("far");
   });
 
+  describe("a replica that was far behind", () => {
+    function createLagging() {
+      const { placement, samples, request } = createPlacement();
+      placement.lagged("near", { term: 1, lsn: 9n }, undefined, samples, 9_000);
+      for (let at = 9_000; at <= 12_000; at += 100) {
+        const lsn = 10n + BigInt((at - 9_000) / 100);
+        samples.add({ at, position: { term: 1, lsn } });
+      }
+      const choose = (at: number) => {
+        const position = samples.covering(at - 50)!;
+        return placement.choose(request({ position }), at);
+      };
+      return { placement, samples, choose };
+    }
+
+    it("is tried by one read at a time, since nothing else shows that it has caught up", () => {
+      const { placement, samples, choose } = createLagging();
+      expect(choose(9_100)?.instance).toEqual("far");
+      expect(choose(9_500)).toEqual({ instance: "near", wait: 0 });
+      expect(choose(9_510)?.instance).toEqual("far");
+      placement.lagged(
+        "near",
+        samples.covering(9_450)!,
+        undefined,
+        samples,
+        9_520,
+      );
+      expect(choose(9_600)?.instance).toEqual("far");
+    });
+
+    it("serves again once an answer shows that it has caught up", () => {
+      const { placement, samples, choose } = createLagging();
+      expect(choose(10_000)?.instance).toEqual("near");
+      const shown = samples.covering(9_900)!;
+      placement.answered("near", shown, samples, 10_010);
+      expect(choose(10_400)?.instance).toEqual("near");
+      expect(choose(10_410)?.instance).toEqual("near");
+    });
+  });
+
   it("gives an instance that failed one trial at a time", () => {
     const { placement, request } = createPlacement();
     placement.failed("near", 1_000);
