Overload: wait in the proxy, refuse at once, bound what is under way

Load: a group whose replicas lag is served by its primary alone, 4 slots of work a second for 3, through 24 or 34 proxies.

- ConcurrencyLimit: statements that are turned away lower the number that a proxy has under way, answers raise it; resting transactions do not count.
- A refusal for overload ends a statement at once where no other instance is left; reads are not kept until their deadline.
- At most 2 connections a proxy where they are scarce (was 4), kept for 2 s.

--- a/src/plugins/connections/admission.ts
+++ b/src/plugins/connections/admission.ts
@@ -28,6 +28,12 @@
   low: 1_000,
 };
 
+/** Part of the useful time that a statement may wait: the rest is for a service that is slower than the mean, and for a caller that comes back after a refusal. */
+const USEFUL_WAIT_PART = 0.3;
+
+/** Wait, in ms, that is still granted to a statement whose useful time is over: a queue as short as that is no overload. */
+const USEFUL_WAIT_LEAST_MS = 100;
+
 const SHED_REPORT_INTERVAL_MS = 1_000;
 
 /** Told of refusals: the code of the latest, and how many there were since the last report. */
@@ -69,12 +75,13 @@
       queue.age(request.priority),
       this.#expectedWait(queue.ahead(request.priority), connections),
     );
-    if (wait > Math.min(left, EXPECTED_WAIT_MAX_MS[request.priority])) {
+    const bound = Math.min(left, this.#longestWait(request));
+    if (wait > bound) {
       return this.#failure(
         ResultCodes.QUEUE_FULL,
         `the expected wait for a connection to ${this.#instance} is ${
           Math.round(wait)
-        } ms`,
+        } ms; retry in ${Math.ceil(wait - bound)} ms`,
       );
     }
     if (queue.size < this.queueLength) return undefined;
@@ -101,6 +108,14 @@
     );
   }
 
+  /** Longest wait, in ms, with which a statement is worth its place in the queue. */
+  #longestWait({ priority, usefulUntil }: ConnectionRequest): number {
+    if (usefulUntil === undefined) return EXPECTED_WAIT_MAX_MS[priority];
+    const left = USEFUL_WAIT_PART * (usefulUntil - performance.now());
+    const wait = left - this.#serviceTime.mean;
+    return Math.max(USEFUL_WAIT_LEAST_MS, wait);
+  }
+
   #expectedWait(ahead: number, connections: number): number {
     return this.#serviceTime.mean * ahead / Math.max(1, connections);
   }
--- a/src/plugins/connections/connections.ts
+++ b/src/plugins/connections/connections.ts
@@ -17,6 +17,8 @@
   readonly priority: Priority;
   /** Monotonic ms. */
   readonly deadline: number;
+  /** Monotonic ms after which an answer is worth less to the caller, where that is known. */
+  readonly usefulUntil?: number;
 }
 
 /** An open, authenticated connection to an upstream, lent to one statement or transaction. */
--- a/src/plugins/connections/instance_pool.ts
+++ b/src/plugins/connections/instance_pool.ts
@@ -23,6 +23,7 @@
 } from "../../kernel/result_codes.ts";
 import { Admission } from "./admission.ts";
 import type { ConnectionRequest, ConnectionUse } from "./connections.ts";
+import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { IdleStack } from "./idle_stack.ts";
 import { Opener } from "./opener.ts";
@@ -44,6 +45,8 @@
   readonly open: () => ResultAsync<MemberFactory<Member>, Failure>;
   /** Told when the instance can't be reached or has ended an idle connection. */
   readonly onFailure: () => void;
+  /** Lent connections whose borrowers mostly rest, such as those of transactions. */
+  readonly resting?: () => number;
 }
 
 /** How long a pool keeps connections that nobody uses. */
@@ -70,6 +73,7 @@
   implements PoolOwner<Member> {
   readonly demand = new DemandMeter();
   readonly admission: Admission;
+  readonly #limit = new ConcurrencyLimit();
   readonly #options: PoolOptions<Member>;
   readonly #idle = new IdleStack<Member>();
   readonly #open = new Set<Member>();
@@ -115,6 +119,12 @@
     return Math.max(this.#open.size, this.#share);
   }
 
+  /** Whether one more statement may be sent to the instance. */
+  get #mayLend(): boolean {
+    const working = this.#busy.size - (this.#options.resting?.() ?? 0);
+    return working < this.#limit.bound && this.#limit.pause() === 0;
+  }
+
   /** Connections that count at the instance, those that open or end included. */
   get #held(): number {
     return this.#open.size + this.#ending.size + this.#opener.pending;
@@ -135,7 +145,7 @@
   /** Lends a connection. */
   acquire(request: ConnectionRequest): ResultAsync<Member, Failure> {
     if (this.#closedFor) return errAsync(this.#closedFor);
-    const idle = this.#idle.pop();
+    const idle = this.#mayLend ? this.#idle.pop() : undefined;
     if (idle) {
       this.#lend(idle);
       this.#openAhead();
@@ -192,13 +202,22 @@
     this.#openAhead();
   }
 
+  /** Notes that the instance had no place for a statement of a lent connection. */
+  turnedAway(): void {
+    this.#limit.turnedAway(this.#busy.size);
+    const pause = this.#limit.pause();
+    if (pause > 0) setTimeout(() => this.#lendToWaiters(), pause + 1);
+  }
+
   released(connection: Member): void {
     const now = performance.now();
     this.#busy.delete(connection);
+    this.#limit.answered(this.#share);
     this.admission.noteService(now - connection.usedAt);
     this.#releasedAt = now;
     connection.usedAt = now;
     this.#keepOrEnd(connection);
+    this.#lendToWaiters();
     this.demand.note(this.load, now);
   }
 
@@ -209,6 +228,7 @@
     if (this.#idle.remove(connection)) this.#options.onFailure();
     this.demand.note(this.load);
     this.#options.log(Events.CONNECTION_CLOSED, { connection: connection.id });
+    this.#lendToWaiters();
     this.#openForWaiters();
   }
 
@@ -225,13 +245,17 @@
   }
 
   #offer(connection: Member): void {
-    const waiter = this.#queue.shift();
-    if (waiter) {
+    this.#idle.push(connection);
+    this.#lendToWaiters();
+  }
+
+  #lendToWaiters(): void {
+    while (this.#queue.size > 0 && this.#mayLend) {
+      const connection = this.#idle.pop();
+      if (!connection) return;
       this.#lend(connection);
-      waiter(ok(connection));
-      return;
+      this.#queue.shift()!(ok(connection));
     }
-    this.#idle.push(connection);
   }
 
   #lend(connection: Member): void {
@@ -254,7 +278,8 @@
         `${instance} could not be reached a moment ago`,
       );
     }
-    return this.admission.refusal(request, this.#queue, this.#expectedOpen);
+    const serving = Math.min(this.#expectedOpen, this.#limit.bound);
+    return this.admission.refusal(request, this.#queue, serving);
   }
 
   #wait(request: ConnectionRequest): Promise<Loan<Member>> {
@@ -273,7 +298,10 @@
   }
 
   #openForWaiters(): void {
-    while (this.#opener.pending < this.#queue.size && this.#mayOpen()) {
+    const wanted = Math.min(this.#queue.size, this.#limit.bound);
+    while (
+      this.#idle.size + this.#opener.pending < wanted && this.#mayOpen()
+    ) {
       this.#opener.open();
     }
   }
--- a/src/plugins/connections/upstream_pools.ts
+++ b/src/plugins/connections/upstream_pools.ts
@@ -47,7 +47,7 @@
 const SHARED_PART = 1.2;
 
 /** Connections that a proxy may open to an instance however many proxies there are; the instance's refusal is the limit then. */
-const SHARE_LEAST = 4;
+const SHARE_LEAST = 2;
 
 /** A share below this is scarce: connections are given back as soon as they are not used. */
 const SCARCE_SHARE = 4;
@@ -65,7 +65,7 @@
 /** For instances whose connections are fewer than the proxies would keep. */
 const SCARCE_IDLE_POLICY: IdlePolicy = {
   warm: 1,
-  surplusTimeout: 400,
+  surplusTimeout: 2_000,
   warmTimeout: 4_000,
 };
 
@@ -114,6 +114,7 @@
     id: string,
     priority: Priority,
     deadline: number,
+    usefulUntil?: number,
   ): ResultAsync<UpstreamLink, Failure> {
     const entry = this.#entry(id);
     if (!entry) {
@@ -123,7 +124,18 @@
       ));
     }
     const { database, instance } = entry.pool.target;
-    return entry.pool.acquire({ database, instance, priority, deadline });
+    return entry.pool.acquire({
+      database,
+      instance,
+      priority,
+      deadline,
+      usefulUntil,
+    });
+  }
+
+  /** Notes that an instance had no place for a statement. */
+  turnedAway(id: string): void {
+    this.#entries.get(id)?.pool.turnedAway();
   }
 
   /** Takes a place for a transaction at an instance; undefined at the deadline (monotonic ms) or when it is not listed. */
@@ -183,9 +195,12 @@
         }),
       open: () => connector.open(instance),
       onFailure: () => onFailure(instance),
+      resting: () => transactions.taken,
     });
-    const share = this.#divide(pool, instance.group);
-    return { pool, instance, transactions: new TransactionLimit(share) };
+    const transactions = new TransactionLimit(
+      this.#divide(pool, instance.group),
+    );
+    return { pool, instance, transactions };
   }
 
   /** Sets the share of a pool and how it keeps idle connections; gives the share. */
--- a/src/plugins/deployment/routes.ts
+++ b/src/plugins/deployment/routes.ts
@@ -23,6 +23,8 @@
   readonly maxAge: number;
   /** Longest time for one statement, in ms. */
   readonly statementTimeout: number;
+  /** Time in which a whole operation is of full worth to its caller, in ms. */
+  readonly targetLatency: number;
   readonly priority: Priority;
 }
 
--- a/src/plugins/sessions/caller_session.ts
+++ b/src/plugins/sessions/caller_session.ts
@@ -19,10 +19,11 @@
 } from "./caller.ts";
 import { preparedName } from "./link_preparation.ts";
 import { type Outcome, transactionLost } from "./outcome.ts";
-import { type ReadOperation, runRead } from "./read_run.ts";
+import { runRead } from "./read_run.ts";
 import {
   type SessionContext,
   SessionState,
+  type StatementOperation,
   type Task,
 } from "./session_context.ts";
 import { Transaction } from "./transaction.ts";
@@ -173,7 +174,7 @@
 
   async #runInTransaction(
     task: Task,
-    operation: ReadOperation,
+    operation: StatementOperation,
     effect: "read" | "write",
   ): Promise<void> {
     const opened = await this.#opening!;
@@ -224,7 +225,7 @@
   ):
     | {
       readonly effect: "read" | "write";
-      readonly operation: ReadOperation;
+      readonly operation: StatementOperation;
     }
     | undefined {
     if (statement.kind !== "execute") {
@@ -260,6 +261,7 @@
       id: request.id,
       receivedAt: request.receivedAt,
       deadline: request.receivedAt + route.statementTimeout,
+      usefulUntil: request.receivedAt + route.targetLatency,
     };
   }
 
--- a/src/plugins/sessions/outcome.ts
+++ b/src/plugins/sessions/outcome.ts
@@ -29,6 +29,11 @@
   return NOT_RUN.has(fault);
 }
 
+/** Whether a statement was refused because too many wait; to ask again at once would only keep its caller waiting. */
+export function isOverload({ code }: Failure): boolean {
+  return code === ResultCodes.QUEUE_FULL || code === ResultCodes.QUEUE_DEADLINE;
+}
+
 /** An answer as it came. */
 export function answered(answer: Answer): Outcome {
   return { kind: "answered", answer };
--- a/src/plugins/sessions/read_run.ts
+++ b/src/plugins/sessions/read_run.ts
@@ -4,29 +4,24 @@
  *
  * @module
  */
-import type { Leader } from "../leadership/group_leadership.ts";
-import type {
-  Answer,
-  LinkOperation,
-  LinkResult,
-  PreparedShape,
-} from "../upstream/link.ts";
+import type { Failure } from "../../kernel/result_codes.ts";
+import type { Answer, LinkResult } from "../upstream/link.ts";
 import { formatPosition, type Position } from "../upstream/position.ts";
 import { prepareLink } from "./link_preparation.ts";
 import {
   answered,
+  isOverload,
   noInstance,
-  noPrimary,
   type Outcome,
   refused,
 } from "./outcome.ts";
-import {
-  confirmAnswer,
-  noteLeaderAnswer,
-  placeRead,
-  refreshSample,
-} from "./primary_work.ts";
-import type { SessionState, Task } from "./session_context.ts";
+import { describeAttempt, runAtPrimary } from "./primary_run.ts";
+import { noteLeaderAnswer, placeRead, refreshSample } from "./primary_work.ts";
+import type {
+  SessionState,
+  StatementOperation,
+  Task,
+} from "./session_context.ts";
 
 /** Part of a route's greatest age after which a new sample is asked for ahead of need. */
 const REFRESH_PART = 0.6;
@@ -41,24 +36,26 @@
 /** An unanswered read is also sent elsewhere after this, in ms; well above what reads take at an instance with a short queue. */
 const HEDGE_AFTER_MS = 250;
 
-/** What a read runs. */
-export interface ReadOperation {
-  readonly operation: LinkOperation;
-  readonly shape?: PreparedShape;
-}
-
 type Attempt =
   | { readonly kind: "answered"; readonly answer: Answer }
-  | { readonly kind: "again"; readonly reason: string };
+  | { readonly kind: "again"; readonly reason: string }
+  | { readonly kind: "overloaded"; readonly failure: Failure };
 
 /** Runs a read until an instance has answered it or its time is over. */
 export async function runRead(
   task: Task,
-  read: ReadOperation,
+  read: StatementOperation,
 ): Promise<Outcome> {
-  return task.route.consistency === "primary"
-    ? await runAtPrimary(task, read)
-    : await runAnywhere(task, read);
+  if (task.route.consistency !== "primary") {
+    return await runAnywhere(task, read);
+  }
+  const { group } = task.route;
+  return await runAtPrimary(task, "read", read, (attempt) => {
+    if (attempt.kind === "confirmed") {
+      return { outcome: answered(attempt.answer) };
+    }
+    return { again: refused(noInstance(group, describeAttempt(attempt))) };
+  });
 }
 
 /** The position that a read received at a time has to find; asks the primary when no sample is young enough. */
@@ -86,17 +83,19 @@
 
 async function runAnywhere(
   task: Task,
-  read: ReadOperation,
+  read: StatementOperation,
 ): Promise<Outcome> {
   const { route, deadline } = task;
   const excluded = new Set<string>();
   let reason = "no young enough position of the primary is known";
+  let overload: Failure | undefined;
   let repeatPause = REPEAT_PAUSE_MS;
   while (performance.now() < deadline - LEAST_TIME_MS) {
     const position = await requirePosition(task);
     if (!position) break;
     const place = placeRead(task, position, excluded);
     if (!place) {
+      if (overload) return refused(overload);
       excluded.clear();
       await pause(repeatPause);
       repeatPause = Math.min(REPEAT_PAUSE_MAX_MS, 2 * repeatPause);
@@ -117,9 +116,10 @@
     );
     race.won = true;
     if (attempt.kind === "answered") return answered(attempt.answer);
-    reason = attempt.reason;
+    if (attempt.kind === "overloaded") overload = attempt.failure;
+    else reason = attempt.reason;
   }
-  return refused(noInstance(route.group, reason));
+  return refused(overload ?? noInstance(route.group, reason));
 }
 
 /** The first attempt that is answered; the second one begins when the first takes long. */
@@ -142,7 +142,7 @@
 
 async function attemptRead(
   task: Task,
-  read: ReadOperation,
+  read: StatementOperation,
   instance: string,
   position: Position,
   /** Whether another attempt of the same read has ended it. */
@@ -151,8 +151,14 @@
   const { context, route, session, deadline } = task;
   const leadership = context.succession.leadership(route.group);
   const leader = leadership.current();
-  const lent = await context.pools.acquire(instance, route.priority, deadline);
+  const lent = await context.pools.acquire(
+    instance,
+    route.priority,
+    deadline,
+    task.usefulUntil,
+  );
   if (lent.isErr()) {
+    if (isOverload(lent.error)) return overloaded(task, instance, lent.error);
     context.placement.failed(instance);
     return giveUp(task, instance, lent.error.message, position);
   }
@@ -186,6 +192,10 @@
     context.placement.lagged(instance, position, shown, samples);
     return giveUp(task, instance, "lagging", position, shown);
   }
+  if (answer.fault === "busy") {
+    context.pools.turnedAway(instance);
+    return giveUp(task, instance, answer.fault, position);
+  }
   if (answer.fault) {
     context.placement.failed(instance);
     return giveUp(task, instance, answer.fault, position);
@@ -227,66 +237,11 @@
   return { kind: "again", reason: `${instance}: ${reason}` };
 }
 
-async function runAtPrimary(
-  task: Task,
-  read: ReadOperation,
-): Promise<Outcome> {
-  const { context, route, deadline } = task;
-  const leadership = context.succession.leadership(route.group);
-  let reason = "";
-  while (performance.now() < deadline - LEAST_TIME_MS) {
-    const leader = await leadership.usable(deadline);
-    if (!leader) {
-      return refused(noPrimary(route.group, leadership.expectedIn()));
-    }
-    const leave = leadership.enter();
-    try {
-      const attempt = await attemptAtPrimary(task, read, leader);
-      if (attempt.kind === "answered") return answered(attempt.answer);
-      reason = attempt.reason;
-    } finally {
-      leave();
-    }
-    await pause(REPEAT_PAUSE_MS);
-  }
-  return refused(noInstance(route.group, reason || "its time is over"));
-}
-
-async function attemptAtPrimary(
-  task: Task,
-  read: ReadOperation,
-  leader: Leader,
-): Promise<Attempt> {
-  const { context, route, session, deadline } = task;
-  const { instance } = leader;
-  const lent = await context.pools.acquire(instance, route.priority, deadline);
-  if (lent.isErr()) {
-    return giveUp(task, instance, lent.error.message, undefined);
-  }
-  const link = lent.value;
-  context.succession.asked(route.group, instance);
-  prepareLink(link, session, read.shape, deadline);
-  const result = await runTracked(
-    session,
-    link.run({ id: task.id, operation: read.operation }, deadline),
-  );
-  if (result.isErr()) {
-    context.succession.failed(route.group, instance);
-    return giveUp(task, instance, result.error.reason, undefined);
-  }
-  const answer = result.value;
-  link.release();
-  noteLeaderAnswer(context, route.group, leader, answer);
-  if (answer.fault) return giveUp(task, instance, answer.fault, undefined);
-  if (!await confirmAnswer(task, leader, answer)) {
-    return giveUp(task, instance, "no longer the primary", undefined);
-  }
-  context.requests.served(task, "read", () => ({
-    group: route.group,
-    instance,
-    epoch: leader.epoch,
-  }));
-  return { kind: "answered", answer };
+function overloaded(task: Task, instance: string, failure: Failure): Attempt {
+  task.context.requests.attempt(task, instance, failure.message, {
+    group: task.route.group,
+  });
+  return { kind: "overloaded", failure };
 }
 
 function pause(duration: number): Promise<void> {
--- a/src/plugins/sessions/session_context.ts
+++ b/src/plugins/sessions/session_context.ts
@@ -10,7 +10,7 @@
 import type { PrimarySamples } from "../freshness/primary_samples.ts";
 import type { Succession } from "../leadership/succession.ts";
 import type { ReadPlacement } from "../placement/read_placement.ts";
-import type { PreparedShape } from "../upstream/link.ts";
+import type { LinkOperation, PreparedShape } from "../upstream/link.ts";
 import { laterPosition, type Position } from "../upstream/position.ts";
 import type { RequestLog } from "./request_log.ts";
 
@@ -69,4 +69,13 @@
   readonly receivedAt: number;
   /** Monotonic ms by which it is answered. */
   readonly deadline: number;
+  /** Monotonic ms after which an answer is worth less to the caller. */
+  readonly usefulUntil: number;
+}
+
+/** What a statement runs. */
+export interface StatementOperation {
+  readonly operation: LinkOperation;
+  /** The statement that it executes, when it was prepared before. */
+  readonly shape?: PreparedShape;
 }
--- a/src/plugins/sessions/transaction.ts
+++ b/src/plugins/sessions/transaction.ts
@@ -11,6 +11,7 @@
 import { prepareLink } from "./link_preparation.ts";
 import {
   answered,
+  isOverload,
   noInstance,
   noPlace,
   noPrimary,
@@ -20,8 +21,8 @@
   unknownOutcome,
 } from "./outcome.ts";
 import { confirmAnswer, noteLeaderAnswer, placeRead } from "./primary_work.ts";
-import { type ReadOperation, requirePosition } from "./read_run.ts";
-import type { Task } from "./session_context.ts";
+import { requirePosition } from "./read_run.ts";
+import type { StatementOperation, Task } from "./session_context.ts";
 
 /** Pause before another attempt to open a transaction, in ms. */
 const REPEAT_PAUSE_MS = 25;
@@ -73,6 +74,7 @@
       if (opened.isOk()) return opened;
       failure = opened.error;
       if (failure.code === ResultCodes.PRIMARY_ABSENT) break;
+      if (isOverload(failure)) break;
       await new Promise((resolve) => setTimeout(resolve, REPEAT_PAUSE_MS));
     }
     return err(failure);
@@ -147,10 +149,15 @@
     const { priority } = route;
     const leave = await pools.enterTransaction(instance, priority, deadline);
     if (!leave) return err(noPlace(route.group, instance));
-    const lent = await pools.acquire(instance, priority, deadline);
+    const lent = await pools.acquire(
+      instance,
+      priority,
+      deadline,
+      task.usefulUntil,
+    );
     if (lent.isErr()) {
       leave();
-      placement.failed(instance);
+      if (!isOverload(lent.error)) placement.failed(instance);
       context.requests.attempt(task, instance, lent.error.message, {});
       return err(lent.error);
     }
@@ -175,6 +182,7 @@
       const samples = context.samples(route.group);
       placement.lagged(instance, after, answer.position, samples);
     }
+    if (answer.fault === "busy") pools.turnedAway(instance);
     const reason = answer.fault ?? "the transaction is not open";
     context.requests.attempt(task, instance, reason, {});
     return err(noInstance(route.group, reason));
@@ -183,7 +191,7 @@
   /** Runs a statement of it. */
   async run(
     task: Task,
-    statement: ReadOperation,
+    statement: StatementOperation,
     effect: "read" | "write",
   ): Promise<Outcome> {
     const { context, route, deadline } = task;
--- a/test/platform/documents_test.ts
+++ b/test/platform/documents_test.ts
@@ -89,6 +89,7 @@
       consistency: "bounded",
       maxAge: 1500,
       statementTimeout: 800,
+      targetLatency: 800,
       priority: "normal",
     });
     expect(table.groups.get("ledger")?.connectionsPerInstance).toEqual(22);
