Connections: slow start at an instance, frugal where they are scarce

- A proxy has two statements at an instance that it knows nothing of, one more for each answer until one is turned away.
- As many openings at a time as connections are open, and none beyond what the bound lets be used.
- Where connections are scarce, one is opened only when a statement would wait longer for an open one than an opening takes, none ahead of need.
- What was turned away is told with the connection's return, no longer apart.

--- a/src/plugins/connections/admission.ts
+++ b/src/plugins/connections/admission.ts
@@ -73,7 +73,7 @@
     if (left <= 0) return this.deadlineFailure();
     const wait = Math.max(
       queue.age(request.priority),
-      this.#expectedWait(queue.ahead(request.priority), connections),
+      this.expectedWait(queue.ahead(request.priority), connections),
     );
     const bound = Math.min(left, this.#longestWait(request));
     if (wait > bound) {
@@ -116,7 +116,8 @@
     return Math.max(USEFUL_WAIT_LEAST_MS, wait);
   }
 
-  #expectedWait(ahead: number, connections: number): number {
+  /** Wait, in ms, behind so many others for one of so many connections. */
+  expectedWait(ahead: number, connections: number): number {
     return this.#serviceTime.mean * ahead / Math.max(1, connections);
   }
 
--- a/src/plugins/connections/concurrency_limit.ts
+++ b/src/plugins/connections/concurrency_limit.ts
@@ -10,6 +10,9 @@
  * @module
  */
 
+/** Statements that a proxy sends to an instance that it knows nothing of; each answer then allows one more. */
+const FIRST_BOUND = 2;
+
 /** Part of the bound that is left after a statement was turned away. */
 const DECREASE_PART = 0.7;
 
@@ -24,7 +27,9 @@
 
 /** Bound of one proxy at one instance. */
 export class ConcurrencyLimit {
-  #bound = Infinity;
+  #bound = FIRST_BOUND;
+  /** Whether no statement was turned away yet, so that nothing is known of the instance. */
+  #isFirst = true;
   #decreasedAt = -Infinity;
   #pausedUntil = -Infinity;
 
@@ -42,6 +47,7 @@
   turnedAway(underWay: number, now = performance.now()): void {
     if (now - this.#decreasedAt < DECREASE_INTERVAL_MS) return;
     this.#decreasedAt = now;
+    this.#isFirst = false;
     const bound = Math.min(this.#bound, Math.max(1, underWay));
     if (bound < 2) this.#pausedUntil = now + PAUSE_MS * Math.random();
     this.#bound = Math.max(1, DECREASE_PART * bound);
@@ -50,7 +56,7 @@
   /** Notes an answer while so many may be open at most. */
   answered(most: number): void {
     if (this.#bound === Infinity) return;
-    this.#bound += INCREASE / this.#bound;
+    this.#bound += this.#isFirst ? 1 : INCREASE / this.#bound;
     if (this.#bound > most) this.#bound = Infinity;
   }
 }
--- a/src/plugins/connections/instance_pool.ts
+++ b/src/plugins/connections/instance_pool.ts
@@ -57,6 +57,8 @@
   readonly surplusTimeout: number;
   /** A warm connection is closed after this time without use, in ms; Infinity keeps it. */
   readonly warmTimeout: number;
+  /** Whether a connection is opened only when a statement would wait longer for one that is open; else also ahead of need. */
+  readonly frugal: boolean;
 }
 
 /** For instances that grant each proxy more connections than it needs. */
@@ -64,6 +66,7 @@
   warm: 2,
   surplusTimeout: 30_000,
   warmTimeout: Infinity,
+  frugal: false,
 };
 
 type Loan<Member> = Result<Member, Failure>;
@@ -119,9 +122,13 @@
     return Math.max(this.#open.size, this.#share);
   }
 
+  get #resting(): number {
+    return this.#options.resting?.() ?? 0;
+  }
+
   /** Whether one more statement may be sent to the instance. */
   get #mayLend(): boolean {
-    const working = this.#busy.size - (this.#options.resting?.() ?? 0);
+    const working = this.#busy.size - this.#resting;
     return working < this.#limit.bound && this.#limit.pause() === 0;
   }
 
@@ -202,17 +209,11 @@
     this.#openAhead();
   }
 
-  /** Notes that the instance had no place for a statement of a lent connection. */
-  turnedAway(): void {
-    this.#limit.turnedAway(this.#busy.size);
-    const pause = this.#limit.pause();
-    if (pause > 0) setTimeout(() => this.#lendToWaiters(), pause + 1);
-  }
-
-  released(connection: Member): void {
+  released(connection: Member, wasTurnedAway = false): void {
     const now = performance.now();
+    if (wasTurnedAway) this.#noteTurnedAway();
+    else this.#limit.answered(this.#share);
     this.#busy.delete(connection);
-    this.#limit.answered(this.#share);
     this.admission.noteService(now - connection.usedAt);
     this.#releasedAt = now;
     connection.usedAt = now;
@@ -232,6 +233,12 @@
     this.#openForWaiters();
   }
 
+  #noteTurnedAway(): void {
+    this.#limit.turnedAway(this.#busy.size);
+    const pause = this.#limit.pause();
+    if (pause > 0) setTimeout(() => this.#lendToWaiters(), pause + 1);
+  }
+
   #keepOrEnd(connection: Member): void {
     const surplus = this.#open.size > this.#share;
     if (this.#closedFor || surplus) this.#end(connection);
@@ -300,12 +307,20 @@
   #openForWaiters(): void {
     const wanted = Math.min(this.#queue.size, this.#limit.bound);
     while (
-      this.#idle.size + this.#opener.pending < wanted && this.#mayOpen()
+      this.#idle.size + this.#opener.pending < wanted &&
+      this.#isOpeningSooner() && this.#mayOpen()
     ) {
       this.#opener.open();
     }
   }
 
+  /** Whether the last waiter is served sooner by a new connection than by those that are open. */
+  #isOpeningSooner(): boolean {
+    if (!this.idlePolicy.frugal || this.#open.size === 0) return true;
+    const wait = this.admission.expectedWait(this.#queue.size, this.#open.size);
+    return Math.max(wait, this.#queue.oldest) >= this.#opener.meanTime;
+  }
+
   /** Keeps a warm connection beyond the lent ones, so that the next statement need not wait for an opening. */
   #openAhead(): void {
     const spare = this.#idle.size + this.#opener.pending - this.#queue.size;
@@ -313,13 +328,18 @@
     const rising = this.#busy.size >= this.demand.wanted;
     const idle = this.#busy.size === 0 && this.#queue.size === 0;
     if (idle && this.idlePolicy.warmTimeout !== Infinity) return;
-    if (total >= this.idlePolicy.warm && (spare > 0 || !rising)) return;
+    const isAhead = spare > 0 || !rising || this.idlePolicy.frugal;
+    if (total >= this.idlePolicy.warm && isAhead) return;
     if (this.#mayOpen()) this.#opener.open();
   }
 
   #mayOpen(): boolean {
-    return !this.#closedFor && this.#held < this.#share &&
-      !this.#opener.paused;
+    if (this.#closedFor || this.#opener.paused) return false;
+    if (this.#held >= this.#share) return false;
+    // An opening takes a slot of the instance that statements could use.
+    if (this.#opener.pending >= Math.max(1, this.#open.size)) return false;
+    const total = this.#open.size + this.#opener.pending;
+    return total < this.#limit.bound + this.#resting;
   }
 
   #onOpened(createMember: MemberFactory<Member>): void {
--- a/src/plugins/connections/opener.ts
+++ b/src/plugins/connections/opener.ts
@@ -7,6 +7,7 @@
 import type { ResultAsync } from "neverthrow";
 import { type Failure, ResultCodes } from "../../kernel/result_codes.ts";
 import { RetryDelay } from "./retry_delay.ts";
+import { ServiceTime } from "./service_time.ts";
 
 /** What an opener needs and whom it tells. */
 export interface OpenerOptions<Opened> {
@@ -29,6 +30,7 @@
   readonly #options: OpenerOptions<Opened>;
   readonly #refused = new RetryDelay(REFUSED_PAUSE_MS);
   readonly #unreachable = new RetryDelay(UNREACHABLE_PAUSE_MS);
+  readonly #time = new ServiceTime();
   #pending = 0;
 
   constructor(options: OpenerOptions<Opened>) {
@@ -40,6 +42,11 @@
     return this.#pending;
   }
 
+  /** Mean time of an opening, in ms; 0 until the first. */
+  get meanTime(): number {
+    return this.#time.mean;
+  }
+
   /** Whether the instance could not be reached a moment ago. */
   get unreachable(): boolean {
     return this.#unreachable.waiting(performance.now());
@@ -55,13 +62,14 @@
     this.#pending += 1;
     const begun = performance.now();
     void this.#options.open().match(
-      (opened) => this.#succeed(opened),
+      (opened) => this.#succeed(opened, begun),
       (failure) => this.#fail(failure, begun),
     );
   }
 
-  #succeed(opened: Opened): void {
+  #succeed(opened: Opened, begun: number): void {
     this.#pending -= 1;
+    this.#time.note(performance.now() - begun);
     this.#refused.reset();
     this.#unreachable.reset();
     this.#options.onOpened(opened);
--- a/src/plugins/connections/pool_member.ts
+++ b/src/plugins/connections/pool_member.ts
@@ -23,8 +23,8 @@
 
 /** What a connection tells its pool. */
 export interface PoolOwner<Member extends PoolMember> {
-  /** The borrower gave it back. */
-  released(connection: Member): void;
+  /** The borrower gave it back; `wasTurnedAway` when the instance had no place for its statement. */
+  released(connection: Member, wasTurnedAway?: boolean): void;
   /** The socket is closed, for whatever reason. */
   closed(connection: Member): void;
 }
--- a/src/plugins/connections/service_time.ts
+++ b/src/plugins/connections/service_time.ts
@@ -1,5 +1,6 @@
 /**
- * Mean time for which a connection of a pool is lent.
+ * Mean of a time that is measured again and again, such as that for which a
+ * connection is lent.
  *
  * @module
  */
--- a/src/plugins/connections/upstream_pools.ts
+++ b/src/plugins/connections/upstream_pools.ts
@@ -60,6 +60,7 @@
   warm: 1,
   surplusTimeout: 2_000,
   warmTimeout: Infinity,
+  frugal: false,
 };
 
 /** For instances whose connections are fewer than the proxies would keep. */
@@ -67,6 +68,7 @@
   warm: 1,
   surplusTimeout: 2_000,
   warmTimeout: 4_000,
+  frugal: true,
 };
 
 /** Least time between two reports of an instance whose connections are scarce, in ms. */
@@ -133,11 +135,6 @@
     });
   }
 
-  /** Notes that an instance had no place for a statement. */
-  turnedAway(id: string): void {
-    this.#entries.get(id)?.pool.turnedAway();
-  }
-
   /** Takes a place for a transaction at an instance; undefined at the deadline (monotonic ms) or when it is not listed. */
   async enterTransaction(
     id: string,
@@ -184,6 +181,7 @@
 
   #createEntry(instance: ListedInstance): Entry {
     const { connector, log, onFailure } = this.#options;
+    const transactions = new TransactionLimit(SHARE_LEAST);
     const pool = new InstancePool<UpstreamLink>({
       target: { database: instance.group, instance: instance.id },
       queueLength: QUEUE_LENGTH,
@@ -197,9 +195,7 @@
       onFailure: () => onFailure(instance),
       resting: () => transactions.taken,
     });
-    const transactions = new TransactionLimit(
-      this.#divide(pool, instance.group),
-    );
+    transactions.setShare(this.#divide(pool, instance.group));
     return { pool, instance, transactions };
   }
 
--- a/src/plugins/connections/waiting_queue.ts
+++ b/src/plugins/connections/waiting_queue.ts
@@ -25,6 +25,11 @@
     return high.size + normal.size + low.size;
   }
 
+  /** For how long, in ms, the first waiter of any class has waited. */
+  get oldest(): number {
+    return Math.max(...ORDER.map((priority) => this.age(priority)));
+  }
+
   /** Number of waiters that go before a newcomer of the priority. */
   ahead(priority: Priority): number {
     let count = 0;
--- a/src/plugins/sessions/primary_run.ts
+++ b/src/plugins/sessions/primary_run.ts
@@ -99,9 +99,8 @@
     return { kind: "lost", loss: result.error };
   }
   const answer = result.value;
-  link.release();
+  link.release(answer.fault === "busy");
   noteLeaderAnswer(context, route.group, leader, answer);
-  if (answer.fault === "busy") context.pools.turnedAway(instance);
   if (answer.fault) return { kind: "fault", answer };
   return await confirmAnswer(task, leader, answer)
     ? { kind: "confirmed", answer }
--- a/src/plugins/sessions/read_run.ts
+++ b/src/plugins/sessions/read_run.ts
@@ -182,7 +182,7 @@
     return giveUp(task, instance, result.error.reason, position);
   }
   const answer = result.value;
-  link.release();
+  link.release(answer.fault === "busy");
   if (leader?.instance === instance) {
     noteLeaderAnswer(context, route.group, leader, answer);
   }
@@ -193,7 +193,6 @@
     return giveUp(task, instance, "lagging", position, shown);
   }
   if (answer.fault === "busy") {
-    context.pools.turnedAway(instance);
     return giveUp(task, instance, answer.fault, position);
   }
   if (answer.fault) {
--- a/src/plugins/sessions/transaction.ts
+++ b/src/plugins/sessions/transaction.ts
@@ -176,13 +176,12 @@
       return ok({ link, answer, leave });
     }
     leave();
-    if (answer.state === "idle") link.release();
+    if (answer.state === "idle") link.release(answer.fault === "busy");
     else link.destroy();
     if (answer.fault === "lagging" && after) {
       const samples = context.samples(route.group);
       placement.lagged(instance, after, answer.position, samples);
     }
-    if (answer.fault === "busy") pools.turnedAway(instance);
     const reason = answer.fault ?? "the transaction is not open";
     context.requests.attempt(task, instance, reason, {});
     return err(noInstance(route.group, reason));
--- a/src/plugins/upstream/link.ts
+++ b/src/plugins/upstream/link.ts
@@ -129,6 +129,6 @@
   resume(deadline: number): LinkResult<LinkStatus>;
   /** Makes a primary of a lower term a replica. */
   stepDown(term: number, deadline: number): LinkResult<LinkStatus>;
-  /** Gives the connection back; only one that is idle with its answers read. */
-  release(): void;
+  /** Gives the connection back; only one that is idle with its answers read. `wasTurnedAway` when the instance had no place for its statement. */
+  release(wasTurnedAway?: boolean): void;
 }
--- a/test/platform/concurrency_limit_test.ts
+++ b/test/platform/concurrency_limit_test.ts
@@ -3,8 +3,12 @@
 import { ConcurrencyLimit } from "../../src/plugins/connections/concurrency_limit.ts";
 
 describe("the statements of a proxy at an instance", () => {
-  it("are not bounded while none is turned away", () => {
+  it("begin with two, and grow with each answer while none is turned away", () => {
     const limit = new ConcurrencyLimit();
+    expect(limit.bound).toEqual(2);
+    limit.answered(4);
+    expect(limit.bound).toEqual(3);
+    limit.answered(4);
     limit.answered(4);
     expect(limit.bound).toEqual(Infinity);
     expect(limit.pause(0)).toEqual(0);
@@ -12,6 +16,7 @@
 
   it("are fewer after one was turned away, and only once for a burst of answers", () => {
     const limit = new ConcurrencyLimit();
+    for (let count = 0; count < 8; count += 1) limit.answered(20);
     limit.turnedAway(10, 1_000);
     expect(limit.bound).toEqual(7);
     limit.turnedAway(10, 1_010);
--- a/test/platform/overload_test.ts
+++ b/test/platform/overload_test.ts
@@ -121,5 +121,44 @@
       expect(summarize(result, kind).inTime).toBeGreaterThan(0.97);
     }
     expect(result.busy).toEqual(0);
+    expect(result.opened).toBeLessThan(3 * load.proxies);
   });
 });
+
+describe("a group whose callers all come back at once", () => {
+  const kinds = load.kinds.map((kind) => ({ ...kind, rate: 0.6 * kind.rate }));
+  const surge = { time: 300, factor: 5 };
+  for (const connections of [40, 222]) {
+    describe(`with ${connections} connections for 34 proxies`, () => {
+      let result: LoadResult;
+      before(async () => {
+        result = await playLoad({
+          ...load,
+          proxies: 34,
+          connections,
+          kinds,
+          surge,
+          from: 100,
+          until: 3_000,
+        });
+      });
+
+      it("serves the urgent first, and most of the rest", () => {
+        expect(summarize(result, bookings).inTime).toBeGreaterThan(0.85);
+        for (const kind of [stock, returns]) {
+          const { inTime, late } = summarize(result, kind);
+          expect(inTime + late).toBeGreaterThan(0.7);
+        }
+      });
+
+      it("opens few connections, since each takes a slot", () => {
+        expect(result.opened).toBeLessThan(3 * 34);
+        expect(result.overConnections).toBeLessThan(4 * 34);
+      });
+
+      it("keeps the waiting in the proxies rather than at the instance", () => {
+        expect(result.busy / result.ran).toBeLessThan(0.5);
+      });
+    });
+  }
+});
