Connections: the bound only where an instance turns statements away

Found on reading the change: the bound of statements held for the PostgreSQL face too, whose pools tell nothing of resting transactions, so that a third transaction at a fresh pool waited for one of the first two. The bound is now given to a pool by who knows what rests (concurrency_limit_test: 'lends as many connections at once as its share', failed before), and openings of a pool without it go on as they succeed.

--- a/src/plugins/connections/concurrency_limit.ts
+++ b/src/plugins/connections/concurrency_limit.ts
@@ -27,12 +27,28 @@
 
 /** Bound of one proxy at one instance. */
 export class ConcurrencyLimit {
+  readonly #resting: () => number;
   #bound = FIRST_BOUND;
   /** Whether no statement was turned away yet, so that nothing is known of the instance. */
   #isFirst = true;
   #decreasedAt = -Infinity;
   #pausedUntil = -Infinity;
 
+  /** `resting` tells how many of the lent connections mostly rest, such as those of transactions. */
+  constructor(resting: () => number) {
+    this.#resting = resting;
+  }
+
+  /** Connections that are of use: those that rest and one for each statement that may be under way. */
+  get connections(): number {
+    return this.bound + this.#resting();
+  }
+
+  /** Whether one more statement may be sent while so many connections are lent. */
+  allows(lent: number, now = performance.now()): boolean {
+    return lent < this.connections && this.pause(now) === 0;
+  }
+
   /** Statements that may be under way; at least one. */
   get bound(): number {
     return Math.max(1, Math.floor(this.#bound));
@@ -43,17 +59,17 @@
     return Math.max(0, this.#pausedUntil - now);
   }
 
-  /** Notes that the instance turned a statement away while so many were under way. */
-  turnedAway(underWay: number, now = performance.now()): void {
+  /** Notes that the instance turned a statement away while so many connections were lent. */
+  turnedAway(lent: number, now = performance.now()): void {
     if (now - this.#decreasedAt < DECREASE_INTERVAL_MS) return;
     this.#decreasedAt = now;
     this.#isFirst = false;
-    const bound = Math.min(this.#bound, Math.max(1, underWay));
+    const bound = Math.min(this.#bound, Math.max(1, lent - this.#resting()));
     if (bound < 2) this.#pausedUntil = now + PAUSE_MS * Math.random();
     this.#bound = Math.max(1, DECREASE_PART * bound);
   }
 
-  /** Notes an answer while so many may be open at most. */
+  /** Notes an answer; a bound above the most connections that may be open is none. */
   answered(most: number): void {
     if (this.#bound === Infinity) return;
     this.#bound += this.#isFirst ? 1 : INCREASE / this.#bound;
--- a/src/plugins/connections/instance_pool.ts
+++ b/src/plugins/connections/instance_pool.ts
@@ -23,7 +23,7 @@
 } from "../../kernel/result_codes.ts";
 import { Admission } from "./admission.ts";
 import type { ConnectionRequest, ConnectionUse } from "./connections.ts";
-import { ConcurrencyLimit } from "./concurrency_limit.ts";
+import type { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { IdleStack } from "./idle_stack.ts";
 import { Opener } from "./opener.ts";
@@ -45,8 +45,8 @@
   readonly open: () => ResultAsync<MemberFactory<Member>, Failure>;
   /** Told when the instance can't be reached or has ended an idle connection. */
   readonly onFailure: () => void;
-  /** Lent connections whose borrowers mostly rest, such as those of transactions. */
-  readonly resting?: () => number;
+  /** Bounds the statements under way, where the instance turns away what is too much for it. */
+  readonly limit?: ConcurrencyLimit;
 }
 
 /** How long a pool keeps connections that nobody uses. */
@@ -76,7 +76,6 @@
   implements PoolOwner<Member> {
   readonly demand = new DemandMeter();
   readonly admission: Admission;
-  readonly #limit = new ConcurrencyLimit();
   readonly #options: PoolOptions<Member>;
   readonly #idle = new IdleStack<Member>();
   readonly #open = new Set<Member>();
@@ -122,14 +121,9 @@
     return Math.max(this.#open.size, this.#share);
   }
 
-  get #resting(): number {
-    return this.#options.resting?.() ?? 0;
-  }
-
   /** Whether one more statement may be sent to the instance. */
   get #mayLend(): boolean {
-    const working = this.#busy.size - this.#resting;
-    return working < this.#limit.bound && this.#limit.pause() === 0;
+    return this.#options.limit?.allows(this.#busy.size) ?? true;
   }
 
   /** Connections that count at the instance, those that open or end included. */
@@ -212,7 +206,7 @@
   released(connection: Member, wasTurnedAway = false): void {
     const now = performance.now();
     if (wasTurnedAway) this.#noteTurnedAway();
-    else this.#limit.answered(this.#share);
+    else this.#options.limit?.answered(this.#share);
     this.#busy.delete(connection);
     this.admission.noteService(now - connection.usedAt);
     this.#releasedAt = now;
@@ -234,8 +228,9 @@
   }
 
   #noteTurnedAway(): void {
-    this.#limit.turnedAway(this.#busy.size);
-    const pause = this.#limit.pause();
+    const { limit } = this.#options;
+    limit?.turnedAway(this.#busy.size);
+    const pause = limit?.pause() ?? 0;
     if (pause > 0) setTimeout(() => this.#lendToWaiters(), pause + 1);
   }
 
@@ -285,7 +280,8 @@
         `${instance} could not be reached a moment ago`,
       );
     }
-    const serving = Math.min(this.#expectedOpen, this.#limit.bound);
+    const { limit } = this.#options;
+    const serving = Math.min(this.#expectedOpen, limit?.bound ?? Infinity);
     return this.admission.refusal(request, this.#queue, serving);
   }
 
@@ -305,7 +301,8 @@
   }
 
   #openForWaiters(): void {
-    const wanted = Math.min(this.#queue.size, this.#limit.bound);
+    const { limit } = this.#options;
+    const wanted = Math.min(this.#queue.size, limit?.bound ?? Infinity);
     while (
       this.#idle.size + this.#opener.pending < wanted &&
       this.#isOpeningSooner() && this.#mayOpen()
@@ -339,7 +336,7 @@
     // An opening takes a slot of the instance that statements could use.
     if (this.#opener.pending >= Math.max(1, this.#open.size)) return false;
     const total = this.#open.size + this.#opener.pending;
-    return total < this.#limit.bound + this.#resting;
+    return total < (this.#options.limit?.connections ?? Infinity);
   }
 
   #onOpened(createMember: MemberFactory<Member>): void {
@@ -348,6 +345,8 @@
     this.#open.add(connection);
     this.#options.log(Events.CONNECTION_OPENED, { connection: connection.id });
     this.#keepOrEnd(connection);
+    // An instance of few slots is spared: the next statement or upkeep opens more.
+    if (!this.#options.limit) this.#openForWaiters();
   }
 
   #onFailed(failure: Failure, begun: number): void {
--- a/src/plugins/connections/upstream_pools.ts
+++ b/src/plugins/connections/upstream_pools.ts
@@ -17,6 +17,7 @@
 import type { RoutesInForce } from "../deployment/routes.ts";
 import type { LinkResult, UpstreamLink } from "../upstream/link.ts";
 import type { Priority } from "./connections.ts";
+import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { DEMAND_SAMPLE_MS } from "./demand_meter.ts";
 import { type IdlePolicy, InstancePool } from "./instance_pool.ts";
 import { type Leave, TransactionLimit } from "./transaction_limit.ts";
@@ -193,7 +194,7 @@
         }),
       open: () => connector.open(instance),
       onFailure: () => onFailure(instance),
-      resting: () => transactions.taken,
+      limit: new ConcurrencyLimit(() => transactions.taken),
     });
     transactions.setShare(this.#divide(pool, instance.group));
     return { pool, instance, transactions };
