Clean-up: one piece of code for each thing that the change wrote twice

Found on reading the whole change; behaviour stays.

- link_run: lending a connection and running a statement on it until its late answer was written in reads, statements at the primary and, in part, transactions.
- utils/pause: eight waits on the timers were spelled out.
- A pool lends to waiters in one place after a return.

--- a/src/plugins/connections/instance_pool.ts
+++ b/src/plugins/connections/instance_pool.ts
@@ -212,7 +212,6 @@
     this.#releasedAt = now;
     connection.usedAt = now;
     this.#keepOrEnd(connection);
-    this.#lendToWaiters();
     this.demand.note(this.load, now);
   }
 
@@ -237,7 +236,8 @@
   #keepOrEnd(connection: Member): void {
     const surplus = this.#open.size > this.#share;
     if (this.#closedFor || surplus) this.#end(connection);
-    else this.#offer(connection);
+    else this.#idle.push(connection);
+    this.#lendToWaiters();
   }
 
   #end(connection: Member): void {
@@ -246,11 +246,6 @@
     connection.end();
   }
 
-  #offer(connection: Member): void {
-    this.#idle.push(connection);
-    this.#lendToWaiters();
-  }
-
   #lendToWaiters(): void {
     while (this.#queue.size > 0 && this.#mayLend) {
       const connection = this.#idle.pop();
--- a/src/plugins/connections/shared_connections.ts
+++ b/src/plugins/connections/shared_connections.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { pause } from "../../utils/pause.ts";
 import { errAsync, type ResultAsync } from "neverthrow";
 import { type EventLog, Events } from "../../kernel/events.ts";
 import type { Service } from "../../kernel/kernel.ts";
@@ -96,7 +97,7 @@
   async drain(deadline: number): Promise<void> {
     this.#draining = true;
     while (this.#busy() && performance.now() < deadline) {
-      await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS));
+      await pause(DRAIN_POLL_MS);
     }
   }
 
--- a/src/plugins/leadership/instance_rounds.ts
+++ b/src/plugins/leadership/instance_rounds.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import type { Result } from "neverthrow";
+import { pause } from "../../utils/pause.ts";
 import { type EventLog, Events } from "../../kernel/events.ts";
 import { type LinkLender, withLink } from "../connections/upstream_pools.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
@@ -65,8 +66,8 @@
     leader: Leader,
   ): Promise<boolean> {
     await rounds.running;
-    const pause = rounds.begunAt + ROUND_INTERVAL_MS - performance.now();
-    if (pause > 0) await new Promise((resolve) => setTimeout(resolve, pause));
+    const early = rounds.begunAt + ROUND_INTERVAL_MS - performance.now();
+    if (early > 0) await pause(early);
     rounds.next = undefined;
     rounds.begunAt = performance.now();
     const running = this.#round(group, leader);
--- a/src/plugins/leadership/primary_change.ts
+++ b/src/plugins/leadership/primary_change.ts
@@ -10,15 +10,16 @@
  * @module
  */
 import { randomUUID } from "node:crypto";
-import type { Result } from "neverthrow";
 import { type EventLog, Events } from "../../kernel/events.ts";
-import { type LinkLender, withLink } from "../connections/upstream_pools.ts";
-import type {
-  InstanceDirectory,
-  ListedInstance,
-} from "../deployment/instance_directory.ts";
-import type { LinkResult, LinkStatus, UpstreamLink } from "../upstream/link.ts";
-import { comparePositions, formatPosition } from "../upstream/position.ts";
+import { pause } from "../../utils/pause.ts";
+import type { LinkLender } from "../connections/upstream_pools.ts";
+import type { InstanceDirectory } from "../deployment/instance_directory.ts";
+import { formatPosition } from "../upstream/position.ts";
+import {
+  type Candidate,
+  CandidateSearch,
+  POLL_MS,
+} from "./candidate_search.ts";
 import type {
   Coordination,
   GroupRecord,
@@ -37,24 +38,12 @@
 /** Time left of a change below which nothing is ordered any more, in ms; covers a call that is held up on its way. */
 const ORDER_MARGIN_MS = 1_500;
 
-/** Time for one status, pause or step-down, in ms. */
-const STATUS_TIMEOUT_MS = 500;
-
-/** How long the step-down of the old primary is waited for, in ms: a crossing between regions, an opening and a short queue. */
-const STEP_DOWN_PATIENCE_MS = 150;
-
-/** Pause between two looks at what is waited for, in ms. */
-const POLL_MS = 40;
-
 /** Time for one call that orders a promotion, in ms. */
 const PROMOTE_TIMEOUT_MS = 1_000;
 
 /** How long an order whose reply was lost is given to show its effect, in ms, before it is given again: the slowest users' databases take 1,000 ms. */
 const SETTLE_TIME_MS = 1_500;
 
-/** How long a candidate of a planned change may take to receive the rest of the log, in ms. */
-const CATCH_UP_MS = 1_500;
-
 /** First look at an instance that was ordered to lead, in ms; the fastest users' databases take 300 ms. */
 const FIRST_LOOK_MS = 200;
 
@@ -80,22 +69,20 @@
 /** How a change ended. */
 export type ChangeOutcome = "changed" | "abandoned" | "lost";
 
-interface Candidate {
-  readonly id: string;
-  readonly status: LinkStatus;
-}
-
 /** Carries out one change of one group's primary. */
 export class PrimaryChange {
   readonly #options: PrimaryChangeOptions;
   readonly #reason: ChangeReason;
+  readonly #search: CandidateSearch;
   #version = 0;
   #record: GroupRecord | undefined;
-  #paused: string[] = [];
 
   constructor(options: PrimaryChangeOptions, reason: ChangeReason) {
     this.#options = options;
     this.#reason = reason;
+    const { leadership, directory, pools, log } = options;
+    const { group } = leadership;
+    this.#search = new CandidateSearch({ group, directory, pools, log });
   }
 
   /** Runs the change to its end. */
@@ -116,20 +103,25 @@
       await this.#settle(this.#record!.primary, this.#record!.term);
       return "abandoned";
     }
-    const candidates = await this.#candidates(absent.length > 0);
+    const candidates = await this.#search.find({
+      primary: this.#record!.primary,
+      term: this.#record!.term + 1,
+      planned: this.#reason.planned,
+      pausing: absent.length > 0,
+    });
     for (const candidate of candidates) {
       const promoted = await this.#promote(candidate);
       if (promoted === "lost") return "lost";
       if (promoted !== undefined) {
         await this.#settle(candidate.id, promoted);
-        await this.#resume(candidate.id);
+        await this.#search.resume(candidate.id);
         if (absent.length > 0) {
           await this.#options.coordination.markAbsent(absent);
         }
         return "changed";
       }
     }
-    await this.#resume("");
+    await this.#search.resume();
     await this.#settle(this.#record!.primary, this.#record!.term);
     return "abandoned";
   }
@@ -179,7 +171,9 @@
           return heeded?.version !== this.#version;
         })
         .map(([name]) => name);
-    while (missing().length > 0 && performance.now() < until) await pause();
+    while (missing().length > 0 && performance.now() < until) {
+      await pause(POLL_MS);
+    }
     const unheard = missing();
     // A proxy that is long absent has no lease, but may go on with rounds.
     const absent = [...coordination.hosts()]
@@ -208,66 +202,6 @@
     return true;
   }
 
-  /** The instances that may take over, the one with the furthest log first. */
-  async #candidates(pausing: boolean): Promise<readonly Candidate[]> {
-    const primary = this.#record!.primary;
-    const others = this.#options.directory.group(this.#options.leadership.group)
-      .filter(({ id }) => id !== primary);
-    if (this.#reason.planned) await this.#waitForCatchUp(others);
-    const term = this.#record!.term + 1;
-    const stepDown = pausing ? this.#stepDown(primary, term) : undefined;
-    const answers = await Promise.all(others.map(async (instance) => {
-      const status = pausing
-        ? await this.#ask(instance, (link, at) => link.pause(term, at))
-        : await this.#ask(instance, (link, at) => link.status(at));
-      if (pausing && status.isOk()) this.#paused.push(instance.id);
-      return { instance, status };
-    }));
-    // A primary that can be reached answers within this; one that is dark is not waited for.
-    await Promise.race([stepDown, pause(STEP_DOWN_PATIENCE_MS)]);
-    const heard = answers.flatMap(({ instance, status }) =>
-      status.isOk()
-        ? [{ id: instance.id, status: status.value, leaving: instance.leaving }]
-        : []
-    );
-    heard.sort((a, b) => {
-      if (a.leaving !== b.leaving) return a.leaving ? 1 : -1;
-      return comparePositions(b.status.received, a.status.received);
-    });
-    this.#write(Events.CANDIDATES_FOUND, {
-      asked: others.length,
-      pausing,
-      candidates: heard.map(({ id, status }) =>
-        `${id} ${status.role} ${formatPosition(status.received)}`
-      ),
-    });
-    return heard;
-  }
-
-  /** Waits until some replica holds all that the primary has, so that a planned change loses nothing. */
-  async #waitForCatchUp(others: readonly ListedInstance[]): Promise<void> {
-    const { directory } = this.#options;
-    const primary = directory.get(this.#record!.primary);
-    if (!primary) return;
-    const end = await this.#ask(primary, (link, at) => link.status(at));
-    if (end.isErr()) return;
-    const until = performance.now() + CATCH_UP_MS;
-    const usable = others.filter(({ leaving }) => !leaving);
-    while (performance.now() < until) {
-      const answers = await Promise.all(
-        usable.map((instance) =>
-          this.#ask(instance, (link, at) => link.status(at))
-        ),
-      );
-      const caughtUp = answers.some((status) =>
-        status.isOk() &&
-        comparePositions(status.value.received, end.value.received) >= 0
-      );
-      if (caughtUp) return;
-      await pause();
-    }
-  }
-
   /** The new term; undefined when the candidate can't lead, "lost" when this proxy may not go on. */
   async #promote(candidate: Candidate): Promise<number | "lost" | undefined> {
     const { leadership, order, proxy } = this.#options;
@@ -300,7 +234,7 @@
         const term = await this.#waitForTerm(candidate.id, until);
         if (term !== undefined) return term;
       }
-      await pause();
+      await pause(POLL_MS);
     }
     return "lost";
   }
@@ -308,16 +242,16 @@
   /** Waits until an instance leads under a higher term, until a time (monotonic ms). */
   async #waitForTerm(id: string, until: number): Promise<number | undefined> {
     const { directory } = this.#options;
-    await new Promise((resolve) => setTimeout(resolve, FIRST_LOOK_MS));
+    await pause(FIRST_LOOK_MS);
     while (this.#mayOrder() && performance.now() < until) {
       const instance = directory.get(id);
       if (!instance) return undefined;
-      const status = await this.#ask(instance, (link, at) => link.status(at));
+      const status = await this.#search.status(instance);
       if (
         status.isOk() && status.value.role === "primary" &&
         status.value.term > this.#record!.term
       ) return status.value.term;
-      await pause();
+      await pause(POLL_MS);
     }
     return undefined;
   }
@@ -355,49 +289,6 @@
     });
   }
 
-  /** Asks the old primary to step down, should it live after all. */
-  async #stepDown(primary: string, term: number): Promise<void> {
-    const instance = this.#options.directory.get(primary);
-    if (!instance) return;
-    const status = await this.#ask(
-      instance,
-      (link, at) => link.stepDown(term, at),
-    );
-    this.#write(Events.FENCED, {
-      instance: primary,
-      term,
-      outcome: status.isOk() ? status.value.role : status.error.reason,
-    });
-  }
-
-  /** Lets the paused replicas receive again. */
-  async #resume(promoted: string): Promise<void> {
-    const { directory } = this.#options;
-    const paused = this.#paused.filter((id) => id !== promoted);
-    await Promise.all(paused.map(async (id) => {
-      const instance = directory.get(id);
-      if (!instance) return;
-      const status = await this.#ask(instance, (link, at) => link.resume(at));
-      this.#write(Events.FOLLOW_ORDERED, {
-        instance: id,
-        outcome: status.isOk() ? "done" : status.error.reason,
-      });
-    }));
-  }
-
-  async #ask(
-    instance: ListedInstance,
-    work: (link: UpstreamLink, deadline: number) => LinkResult<LinkStatus>,
-  ): Promise<Result<LinkStatus, { readonly reason: string }>> {
-    const deadline = performance.now() + STATUS_TIMEOUT_MS;
-    return await withLink(
-      this.#options.pools,
-      instance.id,
-      deadline,
-      (link) => work(link, deadline),
-    );
-  }
-
   #write(
     kind: Parameters<EventLog["write"]>[0],
     fields: Readonly<Record<string, unknown>>,
@@ -413,7 +304,3 @@
   return absentSince !== undefined &&
     clock - absentSince > LEASE_EXPIRY_WAIT_MS;
 }
-
-function pause(duration = POLL_MS): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
--- a/src/plugins/metrics/metrics_page.ts
+++ b/src/plugins/metrics/metrics_page.ts
@@ -4,8 +4,13 @@
  * @module
  */
 import { createServer, type Server } from "node:http";
-import { type EventLog, Events } from "../../kernel/events.ts";
+import type { EventLog } from "../../kernel/events.ts";
 import type { UpstreamPools } from "../connections/upstream_pools.ts";
+import {
+  closeServer,
+  listenIfFree,
+  type ServerAddress,
+} from "../../utils/side_server.ts";
 import type { RequestCounters } from "./request_counters.ts";
 
 const QUANTILES: readonly number[] = [0.5, 0.9, 0.99, 0.999];
@@ -24,21 +29,15 @@
   readonly droppedLines: () => number;
 }
 
-/** Where the page is served. */
-export interface MetricsAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** Serves the page at one path of one port. */
 export class MetricsPage {
-  readonly #address: MetricsAddress;
+  readonly #address: ServerAddress;
   readonly #sources: MetricsSources;
   readonly #log: EventLog;
   readonly #server: Server;
 
   constructor(
-    address: MetricsAddress,
+    address: ServerAddress,
     sources: MetricsSources,
     log: EventLog,
   ) {
@@ -57,23 +56,17 @@
 
   /** Listens; a proxy whose metrics address is not free serves all the same. */
   start(): Promise<void> {
-    const { host, port } = this.#address;
-    return new Promise((resolve) => {
-      this.#server.once("error", (error) => {
-        this.#log.write(Events.UNEXPECTED, {
-          where: "metrics page",
-          error: error.message,
-        });
-        resolve();
-      });
-      this.#server.listen(port, host, resolve);
-    });
+    return listenIfFree(
+      this.#server,
+      this.#address,
+      "metrics page",
+      this.#log,
+    );
   }
 
   /** Listens no more. */
   stop(): void {
-    this.#server.closeAllConnections();
-    this.#server.close();
+    closeServer(this.#server);
   }
 
   /** The text of the page. */
--- /dev/null
+++ b/src/plugins/sessions/link_run.ts
@@ -0,0 +1,37 @@
+/**
+ * A statement outside a transaction on a connection of its own.
+ *
+ * @module
+ */
+import type { ResultAsync } from "neverthrow";
+import type { Failure } from "../../kernel/result_codes.ts";
+import type { Answer, LinkResult, UpstreamLink } from "../upstream/link.ts";
+import type { Position } from "../upstream/position.ts";
+import { prepareLink } from "./link_preparation.ts";
+import type { StatementOperation, Task } from "./session_context.ts";
+
+/** Lends a connection to an instance for a task. */
+export function lendLink(
+  { context, route, deadline, usefulUntil }: Task,
+  instance: string,
+): ResultAsync<UpstreamLink, Failure> {
+  return context.pools.acquire(instance, route.priority, deadline, usefulUntil);
+}
+
+/** Runs a statement in the state of its session; one without an answer counts as running until its late answer has come. */
+export async function runOnLink(
+  { id, context, route, session, deadline }: Task,
+  link: UpstreamLink,
+  { operation, shape }: StatementOperation,
+  after?: Position,
+): LinkResult<Answer> {
+  context.succession.asked(route.group, link.instance);
+  prepareLink(link, session, shape, deadline);
+  const running = link.run({ id, operation, after }, deadline);
+  session.track(running.then(async (result) => {
+    if (result.isErr()) await result.error.over;
+  }));
+  const result = await running;
+  if (result.isErr()) context.succession.failed(route.group, link.instance);
+  return result;
+}
--- a/src/plugins/sessions/primary_run.ts
+++ b/src/plugins/sessions/primary_run.ts
@@ -5,10 +5,11 @@
  * @module
  */
 import type { Failure } from "../../kernel/result_codes.ts";
+import { pause } from "../../utils/pause.ts";
 import type { Leader } from "../leadership/group_leadership.ts";
 import type { Answer, LinkLoss } from "../upstream/link.ts";
 import { formatPosition } from "../upstream/position.ts";
-import { prepareLink } from "./link_preparation.ts";
+import { lendLink, runOnLink } from "./link_run.ts";
 import { isOverload, noPrimary, type Outcome, refused } from "./outcome.ts";
 import { confirmAnswer, noteLeaderAnswer } from "./primary_work.ts";
 import type { StatementOperation, Task } from "./session_context.ts";
@@ -75,32 +76,16 @@
 async function attemptOnce(
   task: Task,
   leader: Leader,
-  { operation, shape }: StatementOperation,
+  statement: StatementOperation,
 ): Promise<PrimaryAttempt> {
-  const { context, route, session, deadline } = task;
-  const { instance } = leader;
-  const lent = await context.pools.acquire(
-    instance,
-    route.priority,
-    deadline,
-    task.usefulUntil,
-  );
+  const lent = await lendLink(task, leader.instance);
   if (lent.isErr()) return { kind: "not sent", failure: lent.error };
   const link = lent.value;
-  context.succession.asked(route.group, instance);
-  prepareLink(link, session, shape, deadline);
-  const running = link.run({ id: task.id, operation }, deadline);
-  session.track(running.then(async (result) => {
-    if (result.isErr()) await result.error.over;
-  }));
-  const result = await running;
-  if (result.isErr()) {
-    context.succession.failed(route.group, instance);
-    return { kind: "lost", loss: result.error };
-  }
+  const result = await runOnLink(task, link, statement);
+  if (result.isErr()) return { kind: "lost", loss: result.error };
   const answer = result.value;
   link.release(answer.fault === "busy");
-  noteLeaderAnswer(context, route.group, leader, answer);
+  noteLeaderAnswer(task.context, task.route.group, leader, answer);
   if (answer.fault) return { kind: "fault", answer };
   return await confirmAnswer(task, leader, answer)
     ? { kind: "confirmed", answer }
@@ -147,7 +132,3 @@
       return "no longer the primary";
   }
 }
-
-function pause(duration: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
--- a/src/plugins/sessions/read_run.ts
+++ b/src/plugins/sessions/read_run.ts
@@ -5,9 +5,10 @@
  * @module
  */
 import type { Failure } from "../../kernel/result_codes.ts";
-import type { Answer, LinkResult } from "../upstream/link.ts";
+import { pause } from "../../utils/pause.ts";
+import type { Answer } from "../upstream/link.ts";
 import { formatPosition, type Position } from "../upstream/position.ts";
-import { prepareLink } from "./link_preparation.ts";
+import { lendLink, runOnLink } from "./link_run.ts";
 import {
   answered,
   isOverload,
@@ -17,11 +18,7 @@
 } from "./outcome.ts";
 import { describeAttempt, runAtPrimary } from "./primary_run.ts";
 import { noteLeaderAnswer, placeRead, refreshSample } from "./primary_work.ts";
-import type {
-  SessionState,
-  StatementOperation,
-  Task,
-} from "./session_context.ts";
+import type { StatementOperation, Task } from "./session_context.ts";
 
 /** Part of a route's greatest age after which a new sample is asked for ahead of need. */
 const REFRESH_PART = 0.6;
@@ -148,15 +145,9 @@
   /** Whether another attempt of the same read has ended it. */
   race: { readonly won: boolean },
 ): Promise<Attempt> {
-  const { context, route, session, deadline } = task;
-  const leadership = context.succession.leadership(route.group);
-  const leader = leadership.current();
-  const lent = await context.pools.acquire(
-    instance,
-    route.priority,
-    deadline,
-    task.usefulUntil,
-  );
+  const { context, route } = task;
+  const leader = context.succession.leadership(route.group).current();
+  const lent = await lendLink(task, instance);
   if (lent.isErr()) {
     if (isOverload(lent.error)) return overloaded(task, instance, lent.error);
     context.placement.failed(instance);
@@ -167,18 +158,9 @@
     link.release();
     return { kind: "again", reason: "answered elsewhere" };
   }
-  context.succession.asked(route.group, instance);
-  prepareLink(link, session, read.shape, deadline);
-  const result = await runTracked(
-    session,
-    link.run(
-      { id: task.id, operation: read.operation, after: position },
-      deadline,
-    ),
-  );
+  const result = await runOnLink(task, link, read, position);
   if (result.isErr()) {
     context.placement.failed(instance);
-    context.succession.failed(route.group, instance);
     return giveUp(task, instance, result.error.reason, position);
   }
   const answer = result.value;
@@ -186,20 +168,16 @@
   if (leader?.instance === instance) {
     noteLeaderAnswer(context, route.group, leader, answer);
   }
+  const samples = context.samples(route.group);
   if (answer.fault === "lagging") {
-    const samples = context.samples(route.group);
     const shown = answer.position;
     context.placement.lagged(instance, position, shown, samples);
     return giveUp(task, instance, "lagging", position, shown);
   }
-  if (answer.fault === "busy") {
-    return giveUp(task, instance, answer.fault, position);
-  }
   if (answer.fault) {
-    context.placement.failed(instance);
+    if (answer.fault !== "busy") context.placement.failed(instance);
     return giveUp(task, instance, answer.fault, position);
   }
-  const samples = context.samples(route.group);
   context.placement.answered(instance, answer.position, samples);
   context.requests.served(task, "read", () => ({
     group: route.group,
@@ -210,17 +188,6 @@
   return { kind: "answered", answer };
 }
 
-/** Runs a statement whose answer nobody may wait for to its end. */
-async function runTracked(
-  session: SessionState,
-  running: LinkResult<Answer>,
-): LinkResult<Answer> {
-  session.track(running.then(async (result) => {
-    if (result.isErr()) await result.error.over;
-  }));
-  return await running;
-}
-
 function giveUp(
   task: Task,
   instance: string,
@@ -242,7 +209,3 @@
   });
   return { kind: "overloaded", failure };
 }
-
-function pause(duration: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
--- a/src/plugins/sessions/transaction.ts
+++ b/src/plugins/sessions/transaction.ts
@@ -5,10 +5,12 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { type Failure, ResultCodes } from "../../kernel/result_codes.ts";
+import { pause } from "../../utils/pause.ts";
 import type { Leader } from "../leadership/group_leadership.ts";
 import type { Answer, UpstreamLink } from "../upstream/link.ts";
 import type { Position } from "../upstream/position.ts";
 import { prepareLink } from "./link_preparation.ts";
+import { lendLink } from "./link_run.ts";
 import {
   answered,
   isOverload,
@@ -75,7 +77,7 @@
       failure = opened.error;
       if (failure.code === ResultCodes.PRIMARY_ABSENT) break;
       if (isOverload(failure)) break;
-      await new Promise((resolve) => setTimeout(resolve, REPEAT_PAUSE_MS));
+      await pause(REPEAT_PAUSE_MS);
     }
     return err(failure);
   }
@@ -117,7 +119,7 @@
     }
     const { instance, wait } = place;
     excluded.add(instance);
-    if (wait > 0) await new Promise((resolve) => setTimeout(resolve, wait));
+    if (wait > 0) await pause(wait);
     const begun = await Transaction.#begin(task, instance, true, position);
     if (begun.isErr()) return err(begun.error);
     context.placement.answered(
@@ -149,12 +151,7 @@
     const { priority } = route;
     const leave = await pools.enterTransaction(instance, priority, deadline);
     if (!leave) return err(noPlace(route.group, instance));
-    const lent = await pools.acquire(
-      instance,
-      priority,
-      deadline,
-      task.usefulUntil,
-    );
+    const lent = await lendLink(task, instance);
     if (lent.isErr()) {
       leave();
       if (!isOverload(lent.error)) placement.failed(instance);
