Close three windows of the planned change of primary, and a race of a test

Cause, by entry of KNOWN-RED.txt: - network_test 'turns connections into black holes': the kernel completes the handshake before the network's stand-in accepts; if it is busy just then, it reads the order to heal the cut first and the connection never becomes a black hole. The test now waits until the stand-in has accepted the connection. - planned_stop_test 'gets no new work after 3 s': list's lag (1 s), poll (up to 1.2 s), grace (1.5 s, checked every 250 ms) and the close of the connection add up to more than the 4 s allowed. The grace exists for a change of primary, so an instance that is known not to be the primary gets none. - switchover_test 'fails and loses no write': acquirePrimary asked for the primary, waited for a confirmation, and then used the connection although a hold of writes had begun meanwhile; the fence then cut it off. It asks again after the confirmation. A second proxy also no longer starts a switchover while another one holds writes.

Ruled out for the black hole: closing order of the relay's sockets (the spin alone reproduces it).

--- a/src/plugins/callers/primary_connection.ts
+++ b/src/plugins/callers/primary_connection.ts
@@ -44,7 +44,11 @@
     if (primary.isErr()) return err(primary.error);
     const confirmed = await confirmPrimary(context, group, deadline);
     if (confirmed.isErr()) return err(confirmed.error);
-    const instance = primary.value.name;
+    // A switchover may have begun to hold writes during the confirmation.
+    const current = await context.health.primary(database, deadline);
+    if (current.isErr()) return err(current.error);
+    const instance = current.value.name;
+    if (instance !== primary.value.name) continue;
     const request = { database, instance, priority, deadline };
     const acquired = await context.connections.acquire(request);
     if (acquired.isOk()) return ok({ connection: acquired.value, instance });
--- a/src/plugins/connections/shared_connections.ts
+++ b/src/plugins/connections/shared_connections.ts
@@ -49,7 +49,7 @@
 /** Minimum interval between two publications of the demands. */
 const PUBLISH_INTERVAL_MS = 500;
 
-/** How long a leaving instance still accepts requests, so that a planned change of primary can finish first. */
+/** How long a leaving primary still accepts requests, so that a planned change of primary can finish first. */
 const LEAVING_GRACE_MS = 1_500;
 
 const DRAIN_POLL_MS = 20;
@@ -241,7 +241,8 @@
       return;
     }
     entry.leavingSince ??= now;
-    if (now - entry.leavingSince < LEAVING_GRACE_MS) return;
+    const grace = this.#isOtherThanPrimary(entry) ? 0 : LEAVING_GRACE_MS;
+    if (now - entry.leavingSince < grace) return;
     entry.pool.close(createFailure(
       ResultCodes.UPSTREAM_UNREACHABLE,
       `${instance} is leaving`,
@@ -253,11 +254,13 @@
     if (entry.pool.use.busy === 0) return;
     const view = this.#view(entry);
     if (!view || view.failures < SILENCE_FAILURES) return;
-    const replaced = view.status?.role === "primary" && this.#isReplaced(entry);
+    const replaced = view.status?.role === "primary" &&
+      this.#isOtherThanPrimary(entry);
     if (replaced || now - view.statusAt > SILENCE_MS) entry.pool.destroyBusy();
   }
 
-  #isReplaced(entry: Entry): boolean {
+  /** Whether the group is known to have another instance as its primary. */
+  #isOtherThanPrimary(entry: Entry): boolean {
     const { database, instance } = entry.target;
     const primary = this.#options.health.view(database)?.primary;
     return primary !== undefined && primary !== instance;
--- a/src/plugins/failover/switchover.ts
+++ b/src/plugins/failover/switchover.ts
@@ -31,8 +31,9 @@
 }
 
 /**
- * The instance to promote in a switchover; undefined when none is needed or possible. It is the
- * current primary itself when an instance was fenced above the primary's term.
+ * The instance to promote in a switchover; undefined when none is needed or possible, or another
+ * proxy is carrying one out. It is the current primary itself when an instance was fenced above
+ * the primary's term.
  */
 export function switchoverTarget(
   view: GroupView,
@@ -42,6 +43,7 @@
     item.instance.name === view.primary
   );
   if (!primary?.status || primary.failures > 0) return undefined;
+  if (view.switching) return undefined;
   if (hasInstanceFencedAhead(view, now)) return primary.instance;
   const candidates = view.instances.filter((item) =>
     isEligible(view, item, primary, now)
--- a/test/connections_test.ts
+++ b/test/connections_test.ts
@@ -285,6 +285,20 @@
       await eventually(async () => (await acquire(surroundings)).isOk());
     });
 
+    it("gets no grace period when it is not the primary", async () => {
+      const surroundings = await create();
+      surroundings.primary = "another instance";
+      const held = await acquireOne(surroundings);
+      const startedAt = performance.now();
+      surroundings.leaving.add(instance.name);
+      await eventually(async () =>
+        (await acquire(surroundings, "high", 1))._unsafeUnwrapErr().code ===
+          ResultCodes.UPSTREAM_UNREACHABLE
+      );
+      expect(performance.now() - startedAt < 1_000).toEqual(true);
+      held.release();
+    });
+
     it("drains when it is no longer in the document", async () => {
       const surroundings = await create();
       const held = await acquireOne(surroundings);
--- a/test/failover_policy_test.ts
+++ b/test/failover_policy_test.ts
@@ -108,6 +108,15 @@
     expect(switchoverTarget({ ...view, instances: leaving }, NOW_MS)?.name)
       .toEqual("b");
   });
+
+  it("is undefined while another proxy holds writes for its own switchover", () => {
+    const view = createView(statuses);
+    const leaving = view.instances.map((item, index) =>
+      index === 0 ? { ...item, leaving: true } : item
+    );
+    const switching = { ...view, instances: leaving, switching: true };
+    expect(switchoverTarget(switching, NOW_MS)).toEqual(undefined);
+  });
 });
 
 describe("promotion", () => {
--- a/test/network_test.ts
+++ b/test/network_test.ts
@@ -29,13 +29,23 @@
   const sockets = new Set<Socket>();
   const accepted = new Set<Socket>();
 
+  const faultsUrl = () =>
+    `http://${network.ready.host}:${network.ready.port}/faults`;
+
   async function setFaults(faults: readonly Fault[]): Promise<void> {
-    const url = `http://${network.ready.host}:${network.ready.port}/faults`;
     const body = JSON.stringify({ faults });
-    const answer = await fetch(url, { method: "PUT", body });
+    const answer = await fetch(faultsUrl(), { method: "PUT", body });
     expect(answer.status).toEqual(200);
   }
 
+  /** Number of connections that the network has accepted so far. */
+  async function countAccepted(): Promise<number> {
+    const { traffic } = await (await fetch(faultsUrl())).json() as {
+      traffic: Readonly<Record<string, { readonly connections: number }>>;
+    };
+    return traffic["source > target"]!.connections;
+  }
+
   function open(): { socket: Socket; text: () => string; ended: () => string } {
     const socket = connect({
       host: "127.0.0.1",
@@ -150,8 +160,11 @@
     old.socket.write("a");
     await eventually(() => old.text() === "a");
     await setFaults([{ kind: "cut", ...between }]);
+    const accepted = await countAccepted();
     const fresh = open();
-    await once(fresh.socket, "connect");
+    // The kernel completes the handshake before the network has accepted the
+    // connection; a cut that is healed in between has no effect on it.
+    await eventually(async () => await countAccepted() > accepted);
     old.socket.write("b");
     fresh.socket.write("c");
     expect([old.ended(), fresh.ended()]).toEqual(["", ""]);
