--- a/standins/metadata_store/main.ts
+++ b/standins/metadata_store/main.ts
@@ -20,18 +20,23 @@
   stopOnSignal,
 } from "../common/daemon.ts";
 import { Rows, type Transaction } from "./rows.ts";
+import { PLATFORM_LIMITS, type StoreAnswer, StoreApi } from "./store_api.ts";
 
-/** How a door behaves. */
-type Mode = "up" | "silent" | "busy" | "reset" | "lost";
-
-const LONGEST_WAIT_MS = 30_000;
+/** How a door behaves; `busy` answers 503, `many` answers 429. */
+type Mode = "up" | "silent" | "busy" | "many" | "reset" | "lost";
 
 const flags = readFlags({
   ...daemonFlags,
   /** Doors for hosts, besides the operator's. */
   doors: z.coerce.number().int().min(1).default(2),
+  /** Rows of one page of a read. */
+  "page-rows": z.coerce.number().int().min(1).default(PLATFORM_LIMITS.pageRows),
 });
 const rows = new Rows();
+const store = new StoreApi(rows, {
+  ...PLATFORM_LIMITS,
+  pageRows: flags["page-rows"],
+});
 const modes: Mode[] = [];
 /** Control address of each group, for promotions. */
 const groups = new Map<string, string>();
@@ -66,6 +71,7 @@
   if (mode === "silent") return;
   if (mode === "reset") return void request.socket.resetAndDestroy();
   if (mode === "busy") return reply(response, 503, {});
+  if (mode === "many") return reply(response, 429, {});
   const answer = await serveStore(request, body);
   // A door may be shut while a call waits.
   if (modes[index] === "silent") return;
@@ -78,50 +84,16 @@
 async function serveStore(
   request: IncomingMessage,
   body: unknown,
-): Promise<{ readonly status: number; readonly body: unknown }> {
+): Promise<StoreAnswer> {
   const url = new URL(request.url ?? "/", "http://store");
-  const state = () => ({
-    ver: rows.version,
-    nowMs: Math.round(performance.now()),
-  });
-  if (url.pathname === "/api/rows-tx") {
-    const broken = rows.apply(body as Transaction);
-    if (broken) return { status: 412, body: { rows: broken, ...state() } };
-    return { status: 200, body: state() };
-  }
-  const table = url.searchParams.get("table") ?? "";
-  if (url.pathname === "/api/rows-get") {
-    const found = rows.read(table, url.searchParams.get("from") ?? "");
-    return { status: 200, body: { rows: found, hasMore: false, ...state() } };
-  }
-  if (url.pathname === "/api/rows-feed") return await serveFeed(url, table);
   if (url.pathname === "/promote") return await promote(request, body);
-  return { status: 404, body: {} };
-}
-
-async function serveFeed(
-  url: URL,
-  table: string,
-): Promise<{ readonly status: number; readonly body: unknown }> {
-  const after = Number(url.searchParams.get("after"));
-  const wait = Number(url.searchParams.get("waitMs") ?? 0);
-  const until = performance.now() + Math.min(wait, LONGEST_WAIT_MS);
-  for (;;) {
-    const found = rows.changes(table, after);
-    if (!found) return { status: 410, body: {} };
-    const left = until - performance.now();
-    if (found.length > 0 || left <= 0) {
-      const nowMs = Math.round(performance.now());
-      return { status: 200, body: { rows: found, ver: rows.version, nowMs } };
-    }
-    await rows.wait(left);
-  }
+  return await store.serve(url, body) ?? { status: 404, body: {} };
 }
 
 async function promote(
   request: IncomingMessage,
   body: unknown,
-): Promise<{ readonly status: number; readonly body: unknown }> {
+): Promise<StoreAnswer> {
   const { service, id } = body as { service: string; id: string };
   const order = {
     service,
--- a/standins/metadata_store/rows.ts
+++ b/standins/metadata_store/rows.ts
@@ -31,11 +31,13 @@
 /** All rows, and the changes of the past. */
 export class Rows {
   readonly #rows = new Map<string, WireRow>();
-  #history: WireRow[] = [];
+  /** Changes in order, by table. */
+  readonly #history = new Map<string, WireRow[]>();
   /** Version up to which the history is gone. */
   #forgotten = 0;
   #version = 0;
-  readonly #waiters = new Set<() => void>();
+  /** Waiting calls, by table. */
+  readonly #waiters = new Map<string, Set<() => void>>();
 
   get version(): number {
     return this.#version;
@@ -58,7 +60,6 @@
       const { table, key, part = "" } = place;
       this.#note({ table, part, key, ver: this.#version, deleted: true });
     }
-    for (const wake of [...this.#waiters]) wake();
     return undefined;
   }
 
@@ -72,34 +73,40 @@
   /** Changes of a table after a version; undefined when they are forgotten. */
   changes(table: string, after: number): readonly WireRow[] | undefined {
     if (after < this.#forgotten) return undefined;
-    return this.#history.filter((row) =>
-      row.table === table && row.ver > after
-    );
+    const history = this.#history.get(table) ?? [];
+    let first = history.length;
+    while (first > 0 && history[first - 1]!.ver > after) first -= 1;
+    return history.slice(first);
   }
 
-  /** Waits for the next transaction, for up to a time in ms. */
-  wait(duration: number): Promise<void> {
+  /** Waits for the next change of a table, for up to a time in ms. */
+  wait(table: string, duration: number): Promise<void> {
+    const waiters = this.#waiters.get(table) ?? new Set();
+    this.#waiters.set(table, waiters);
     return new Promise((resolve) => {
       const wake = () => {
         clearTimeout(timer);
-        this.#waiters.delete(wake);
+        waiters.delete(wake);
         resolve();
       };
       const timer = setTimeout(wake, duration);
-      this.#waiters.add(wake);
+      waiters.add(wake);
     });
   }
 
   /** Drops the history. */
   forget(): void {
-    this.#history = [];
+    this.#history.clear();
     this.#forgotten = this.#version;
   }
 
   #note(row: WireRow): void {
     if (row.deleted) this.#rows.delete(keyOf(row));
     else this.#rows.set(keyOf(row), row);
-    this.#history.push(row);
+    const history = this.#history.get(row.table) ?? [];
+    this.#history.set(row.table, history);
+    history.push(row);
+    for (const wake of [...this.#waiters.get(row.table) ?? []]) wake();
   }
 }
 
