--- a/src/commands/proxy.ts
+++ b/src/commands/proxy.ts
@@ -8,6 +8,7 @@
 import { createEventLog, type EventLog, Events } from "../kernel/events.ts";
 import { Kernel } from "../kernel/kernel.ts";
 import { resolveSettings, type Settings } from "../kernel/settings.ts";
+import { logUnhandledErrors } from "../kernel/unexpected_errors.ts";
 import "../plugins/mod.ts";
 
 const STOP_SIGNALS: readonly NodeJS.Signals[] = ["SIGTERM", "SIGINT"];
@@ -48,6 +49,7 @@
     }
     const { name, zone, logLevel } = settings.value;
     const log = createEventLog(logLevel, { proxy: name, zone });
+    logUnhandledErrors(log);
     const kernel = new Kernel(settings.value, log);
     const stopped = stopOnSignal(kernel, settings.value, log);
     await kernel.start([
--- a/src/plugins/leadership/succession.ts
+++ b/src/plugins/leadership/succession.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { type EventLog, Events } from "../../kernel/events.ts";
 import { ResultCodes } from "../../kernel/result_codes.ts";
+import { logUnexpected } from "../../kernel/unexpected_errors.ts";
 import type {
   InstanceConnector,
   UpstreamPools,
@@ -259,7 +260,7 @@
         group.detector.reset();
       }
     } catch (error) {
-      log.write(Events.UNEXPECTED, { where: "change", error: String(error) });
+      logUnexpected(log, "change", error);
       group.notBefore = performance.now() + RETRY_AFTER_MS;
     } finally {
       group.changing = false;
--- a/src/utils/endpoint.ts
+++ b/src/utils/endpoint.ts
@@ -10,6 +10,16 @@
   readonly port: number;
 }
 
+const ENDPOINT_PATTERN = /^[^\s:]+:\d{1,5}$/;
+const MAX_PORT = 65_535;
+
+/** Whether a text is `host:port` with a port that can be connected to. */
+export function isEndpoint(text: string): boolean {
+  if (!ENDPOINT_PATTERN.test(text)) return false;
+  const { port } = parseEndpoint(text);
+  return port > 0 && port <= MAX_PORT;
+}
+
 /** Parses `host:port`; does not validate it. */
 export function parseEndpoint(text: string): Endpoint {
   const colon = text.lastIndexOf(":");
--- a/src/utils/http_transport.ts
+++ b/src/utils/http_transport.ts
@@ -51,7 +51,21 @@
   }
 
   /** Sends a request; closes the connection if no complete response arrives. */
-  call(options: HttpRequest): Promise<Result<HttpReply, HttpFailure>> {
+  async call(options: HttpRequest): Promise<Result<HttpReply, HttpFailure>> {
+    try {
+      return await this.#call(options);
+    } catch (error) {
+      // The request could not be created, for example for an invalid port.
+      return err({ reason: String(error), sent: false });
+    }
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  #call(options: HttpRequest): Promise<Result<HttpReply, HttpFailure>> {
     const requestedAt = performance.now();
     return new Promise((resolve) => {
       const body = options.body === undefined
@@ -103,11 +117,6 @@
       });
     });
   }
-
-  /** Closes all connections. */
-  close(): void {
-    this.#agent.destroy();
-  }
 }
 
 function onceConnected(outgoing: ClientRequest, send: () => void): void {
