Ask the relays of other zones while the store does not answer a host

A zone whose relays are all turned away had no other way either.

Change: after a failed call of its own a host also asks the first relays of two other zones, under the same rule (a call that began after the question), and calls the store itself only every 2 to 8 s until it answers. Such a host answers as a relay that it has no confirmation. A question carries the age of the last confirmation, and the relay calls the store at once where the rest of the call in progress and the next one would take longer than the lease bears.

New tests of the choice and of the expected wait.

Tried and reverted: a relay that is turned away passes on what other zones' relays answer; its zone's questions then miss one call in two and the lease runs out for 16 to 21% of the time.

--- a/src/plugins/relay/covered_questions.ts
+++ b/src/plugins/relay/covered_questions.ts
@@ -17,6 +17,11 @@
 export class CoveredQuestions {
   readonly #waiting = new Set<Question>();
   #startedCalls = 0;
+  #callsInProgress = 0;
+  /** Monotonic ms at which the last call began. */
+  #startedAt = -Infinity;
+  /** Duration of the last successful call, in ms. */
+  #callDuration = 0;
   /** Number of questions that the last call answered. */
   #lastAnswered = 0;
   #wakeGathering: (() => void) | undefined;
@@ -43,11 +48,23 @@
     });
   }
 
+  /** Expected time in ms until a question that arrives now is answered: the rest of the call in progress, and the next call. */
+  expectedWait(now = performance.now()): number {
+    if (this.#callsInProgress === 0) return this.#callDuration;
+    const rest = Math.max(0, this.#callDuration - (now - this.#startedAt));
+    return rest + this.#callDuration;
+  }
+
   /** Records that a call begins; returns the function that records its end. */
   beginCall(): (succeeded: boolean) => void {
+    const startedAt = performance.now();
+    this.#startedAt = startedAt;
     this.#startedCalls += 1;
+    this.#callsInProgress += 1;
     const call = this.#startedCalls;
     return (succeeded) => {
+      this.#callsInProgress -= 1;
+      if (succeeded) this.#callDuration = performance.now() - startedAt;
       // While the store is away, waiting for the next call would only delay other ways.
       const settled = [...this.#waiting]
         .filter(({ after }) => after < call || !succeeded);
--- a/src/plugins/relay/relay_choice.ts
+++ b/src/plugins/relay/relay_choice.ts
@@ -3,7 +3,8 @@
  * availability zone a few proxies, chosen by rendezvous hashing over the live
  * ones, follow the store; the others ask one of these, and follow the store
  * themselves while none of them answers. The number of proxies that call the
- * store so depends on the number of zones, not of proxies.
+ * store so depends on the number of zones, not of proxies. A proxy that the store
+ * does not answer asks the relays of other zones.
  *
  * @module
  */
@@ -25,6 +26,13 @@
 const SILENCE_PAUSE_MS = 1_000;
 const MAX_SILENCE_PAUSE_MS = 8_000;
 
+/** Number of other zones whose relays a proxy asks while the store does not answer it. */
+const DETOUR_ZONE_COUNT = 2;
+
+/** Pause between two attempts to reach the store while other zones' relays answer, in ms; doubled after each failure up to the maximum. */
+const STORE_PROBE_PAUSE_MS = 2_000;
+const MAX_STORE_PROBE_PAUSE_MS = 8_000;
+
 /** Why a relay did not help. */
 export type RelayFailure =
   /** It did not answer in time. */
@@ -48,6 +56,22 @@
   readonly proxies: () => readonly RelayCandidate[];
 }
 
+/** Candidates among the proxies that they were chosen from. */
+interface Chosen {
+  readonly from: readonly RelayCandidate[];
+  readonly local: readonly RelayCandidate[];
+  readonly remote: readonly RelayCandidate[];
+}
+
+/** Time in which the store does not answer this proxy, so that the relays of other zones are asked. */
+interface Detour {
+  /** Monotonic ms of its start. */
+  readonly since: number;
+  /** Monotonic ms at which the store is called again. */
+  readonly probeAt: number;
+  readonly pause: number;
+}
+
 interface Failure {
   readonly count: number;
   /** Monotonic ms until which the relay is not asked. */
@@ -59,11 +83,8 @@
   readonly #options: RelayChoiceOptions;
   readonly #failures = new Map<string, Failure>();
   #askedAt = -Infinity;
-  /** The candidates among the proxies that they were chosen from. */
-  #chosen: {
-    readonly from: readonly RelayCandidate[];
-    readonly candidates: readonly RelayCandidate[];
-  } | undefined;
+  #detour: Detour | undefined;
+  #chosen: Chosen | undefined;
 
   constructor(options: RelayChoiceOptions) {
     this.#options = options;
@@ -71,8 +92,10 @@
 
   /** The relay to ask now; undefined if this proxy has to follow the store itself. */
   choose(now = performance.now()): RelayCandidate | undefined {
-    if (this.isOnDuty(now)) return undefined;
-    return this.#candidates().find(({ name }) => {
+    if (this.isOnDuty(now) && !this.isDetour) return undefined;
+    const { local, remote } = this.#candidates();
+    const candidates = this.isDetour ? [...local, ...remote] : local;
+    return candidates.find(({ name }) => {
       const failure = this.#failures.get(name);
       return failure === undefined || failure.until <= now;
     });
@@ -80,7 +103,7 @@
 
   /** Whether others rely on this proxy, or it has no relay that it could ask. */
   get isRelay(): boolean {
-    return this.isOnDuty() || this.#candidates().length === 0;
+    return this.isOnDuty() || this.#candidates().local.length === 0;
   }
 
   /** Whether another proxy has asked this one lately. */
@@ -88,11 +111,37 @@
     return now - this.#askedAt < DUTY_MS;
   }
 
+  /** Whether the store does not answer this proxy, so that relays of other zones are asked. */
+  get isDetour(): boolean {
+    return this.#detour !== undefined;
+  }
+
+  /** Whether the store is to be called to see if it answers this proxy again. */
+  isProbeDue(now = performance.now()): boolean {
+    return this.#detour !== undefined && now >= this.#detour.probeAt;
+  }
+
   /** Records that another proxy asked this one. */
   recordQuestion(now = performance.now()): void {
     this.#askedAt = now;
   }
 
+  /** Records that this proxy's own call to the store failed. */
+  recordStoreFailure(now = performance.now()): void {
+    if (this.#detour && now < this.#detour.probeAt) return;
+    const pause = this.#detour
+      ? Math.min(MAX_STORE_PROBE_PAUSE_MS, 2 * this.#detour.pause)
+      : STORE_PROBE_PAUSE_MS;
+    // Jitter keeps proxies from returning to the store all at once.
+    const probeAt = now + pause * (0.75 + Math.random() / 2);
+    this.#detour = { since: this.#detour?.since ?? now, probeAt, pause };
+  }
+
+  /** Records when the store last answered a call of this proxy, in monotonic ms. */
+  recordStoreAnswer(at: number): void {
+    if (this.#detour && at > this.#detour.since) this.#detour = undefined;
+  }
+
   /** Records that a relay passed on an answer of the store. */
   recordSuccess(name: string): void {
     this.#failures.delete(name);
@@ -114,19 +163,38 @@
     this.#failures.set(name, { count, until });
   }
 
+  #candidates(): Chosen {
+    const from = this.#options.proxies();
+    if (this.#chosen?.from === from) return this.#chosen;
+    this.#chosen = {
+      from,
+      local: this.#rankLocal(from),
+      remote: this.#rankRemote(from),
+    };
+    return this.#chosen;
+  }
+
+  /** The first relays of some other zones. */
+  #rankRemote(proxies: readonly RelayCandidate[]): readonly RelayCandidate[] {
+    const { proxy, zone } = this.#options;
+    const zones = new Map<string, RelayCandidate[]>();
+    for (const item of proxies) {
+      if (item.zone === undefined || item.zone === zone) continue;
+      const members = zones.get(item.zone) ?? [];
+      members.push(item);
+      zones.set(item.zone, members);
+    }
+    const relays = [...zones].map(([name, members]) =>
+      sortByHash(members, name)[0]!
+    );
+    return sortByHash(relays, proxy).slice(0, DETOUR_ZONE_COUNT);
+  }
+
   /**
    * The zone's relays in the order in which this proxy asks them, and one spare
    * behind them; none if this proxy is a relay itself.
    */
-  #candidates(): readonly RelayCandidate[] {
-    const from = this.#options.proxies();
-    if (this.#chosen?.from === from) return this.#chosen.candidates;
-    const candidates = this.#rank(from);
-    this.#chosen = { from, candidates };
-    return candidates;
-  }
-
-  #rank(proxies: readonly RelayCandidate[]): readonly RelayCandidate[] {
+  #rankLocal(proxies: readonly RelayCandidate[]): readonly RelayCandidate[] {
     const { proxy, zone } = this.#options;
     const local = proxies.filter((item) => item.zone === zone);
     if (local.length < MIN_ZONE_PROXIES) return [];
--- a/src/plugins/relay/relay_client.ts
+++ b/src/plugins/relay/relay_client.ts
@@ -1,6 +1,7 @@
 /**
  * Follows the store through a relay while one answers, else by this proxy's own
- * calls.
+ * calls. While these fail, the relays of other zones are asked, so that a proxy
+ * which the store turns away keeps its lease and the configuration.
  *
  * @module
  */
@@ -54,9 +55,15 @@
 
   /** Asks relays one after another; resolves after `stop`. */
   async run(): Promise<void> {
-    this.#timer = setInterval(() => this.#pollStale(), AGE_CHECK_INTERVAL_MS);
+    this.#timer = setInterval(() => {
+      this.#pollStale();
+      this.#probeStore();
+    }, AGE_CHECK_INTERVAL_MS);
+    const { choice, gate, tables: [first] } = this.#options;
     while (!this.#stopped) {
-      const relay = this.#isLoaded ? this.#options.choice.choose() : undefined;
+      if (gate.isOpen && first.failing) choice.recordStoreFailure();
+      choice.recordStoreAnswer(first.answeredAt);
+      const relay = this.#isLoaded ? choice.choose() : undefined;
       if (!relay) {
         this.#followStore();
         await sleep(CHOICE_INTERVAL_MS);
@@ -64,7 +71,7 @@
       }
       const failure = await this.#ask(relay);
       if (this.#stopped) return;
-      if (failure) this.#options.choice.recordFailure(relay.name, failure);
+      if (failure) choice.recordFailure(relay.name, failure);
       else this.#recordSuccess(relay.name);
     }
   }
@@ -85,9 +92,8 @@
       tables.map(({ name, version }) => [name, version!]),
     );
     const requestedAt = performance.now();
-    const [{ confirmedAt, maxAge }] = tables;
-    const urgent = requestedAt - confirmedAt > maxAge;
-    const question = { proxy, versions, urgent };
+    const age = requestedAt - tables[0].confirmedAt;
+    const question = { proxy, versions, age };
     const answer = await peers.call(
       relay.address,
       RELAY_CHANGES,
@@ -120,7 +126,8 @@
     const { choice, gate, log } = this.#options;
     choice.recordSuccess(relay);
     // Another proxy may have asked this one meanwhile.
-    const closed = !choice.isOnDuty() && gate.close();
+    const mustFollow = choice.isOnDuty() && !choice.isDetour;
+    const closed = !mustFollow && gate.close();
     if (!closed && relay === this.#relay) return;
     this.#relay = relay;
     log.write(Events.RELAY_CHANGED, { relay });
@@ -140,10 +147,25 @@
     if (gate.isOpen) return;
     const now = performance.now();
     for (const table of tables) {
-      if (now - table.confirmedAt <= table.maxAge) continue;
-      if (this.#polled.has(table)) continue;
-      this.#polled.add(table);
-      void table.poll().finally(() => this.#polled.delete(table));
+      if (now - table.confirmedAt > table.maxAge) void this.#poll(table);
     }
   }
+
+  /** Calls the store now and then while relays of other zones are asked, to see whether it answers again. */
+  #probeStore(): void {
+    const { choice, tables: [first] } = this.#options;
+    if (!choice.isProbeDue()) return;
+    void this.#poll(first).then((answered) => {
+      if (answered === false) choice.recordStoreFailure();
+    });
+  }
+
+  /** Calls the store for a table; undefined if such a call is in progress. */
+  async #poll(table: RelayedTable): Promise<boolean | undefined> {
+    if (this.#polled.has(table)) return undefined;
+    this.#polled.add(table);
+    const answered = await table.poll();
+    this.#polled.delete(table);
+    return answered;
+  }
 }
--- a/src/plugins/relay/relay_server.ts
+++ b/src/plugins/relay/relay_server.ts
@@ -15,6 +15,8 @@
 /** Longest wait for the store before a question is answered without it, in ms; shorter than the lease that the answer may renew. */
 const QUESTION_TIMEOUT_MS = 2_500;
 
+const UNCONFIRMED: RelayAnswer = { confirmed: false, clock: 0, tables: [] };
+
 /** Dependencies of a relay's server. */
 export interface RelayServerOptions {
   /** The tables; calls for the first one are what the questions wait for. */
@@ -36,17 +38,19 @@
   }
 
   /** Waits for the next answer of the store and returns the changes that the other proxy does not know. */
-  async answer({ versions, urgent }: RelayQuestion): Promise<RelayAnswer> {
+  async answer({ versions, age }: RelayQuestion): Promise<RelayAnswer> {
     const { choice, gate, questions, tables } = this.#options;
     const askedAt = performance.now();
+    const isUrgent = age + questions.expectedWait(askedAt) > tables[0].maxAge;
+    // Others find another relay sooner than this proxy finds the store.
+    if (choice.isDetour) return UNCONFIRMED;
     choice.recordQuestion(askedAt);
     gate.open();
     const covered = questions.wait(QUESTION_TIMEOUT_MS);
-    if (urgent && !tables[0].failing) void this.#pollUrgently();
-    const confirmed = await covered;
-    if (!confirmed) return { confirmed, clock: 0, tables: [] };
+    if (isUrgent && !tables[0].failing) void this.#pollUrgently();
+    if (!await covered) return UNCONFIRMED;
     return {
-      confirmed,
+      confirmed: true,
       clock: Math.max(...tables.map(({ clock }) => clock)),
       tables: tables
         .filter(({ version }) => version !== undefined)
--- a/src/plugins/relay/relayed_table.ts
+++ b/src/plugins/relay/relayed_table.ts
@@ -33,7 +33,9 @@
   readonly version: number | undefined;
   /** Monotonic ms at or before the latest call to the store whose answer is known here. */
   readonly confirmedAt: number;
-  /** Whether the last own call failed. */
+  /** Monotonic ms at which the store last answered an own call; -Infinity before. */
+  readonly answeredAt: number;
+  /** Whether the last own call failed, and no relay has answered since. */
   readonly failing: boolean;
   /** Age of that call, in ms, above which this proxy calls the store itself. */
   readonly maxAge: number;
@@ -52,8 +54,8 @@
   /** Name of the proxy that asks. */
   readonly proxy: string;
   readonly versions: Readonly<Record<string, number>>;
-  /** Whether the last confirmation is so old that the relay calls the store at once. */
-  readonly urgent: boolean;
+  /** Age of the asking proxy's last confirmation of the first table, in ms. */
+  readonly age: number;
 }
 
 /** A relay's answer. */
@@ -84,7 +86,7 @@
   input: z.object({
     proxy: z.string(),
     versions: z.record(z.string(), z.number()),
-    urgent: z.boolean(),
+    age: z.number(),
   }),
   output: z.object({
     confirmed: z.boolean(),
--- a/test/platform/malformed_input_test.ts
+++ b/test/platform/malformed_input_test.ts
@@ -366,7 +366,7 @@
       }));
       await peers.start();
       cleanups.push(() => peers.stop());
-      const question = { proxy: "p2", versions: {}, urgent: false };
+      const question = { proxy: "p2", versions: {}, age: 0 };
       const path = fc.constantFrom(
         "/relay.changes",
         "/__proto__",
@@ -406,7 +406,7 @@
     it("is an error of the call when the peer's address is invalid", async () => {
       const peers = new PlainPeers({ host: ADDRESS, port: 0 }, log);
       cleanups.push(() => peers.stop());
-      const question = { proxy: "p2", versions: {}, urgent: false };
+      const question = { proxy: "p2", versions: {}, age: 0 };
       for (const address of ["nonsense", "127.0.0.1:99999", ""]) {
         const called = await peers.call(address, RELAY_CHANGES, question, 100);
         expect(called.isErr()).toEqual(true);
--- a/test/platform/relay_test.ts
+++ b/test/platform/relay_test.ts
@@ -68,6 +68,56 @@
     expect(choice.choose(2_000)?.name).toEqual(relay);
   });
 
+  describe("while the store does not answer this proxy", () => {
+    const proxies = candidates(12).map((item, index) => ({
+      ...item,
+      zone: ["a", "b", "c", "d"][index % 4],
+    }));
+    const zoneOf = (name: string | undefined) =>
+      proxies.find((item) => item.name === name)?.zone;
+
+    it("is of other zones once those of its own have failed", () => {
+      const choice = choiceOf("h0", proxies);
+      choice.recordStoreFailure(0);
+      const zones: (string | undefined)[] = [];
+      for (let relay = choice.choose(0); relay; relay = choice.choose(0)) {
+        zones.push(zoneOf(relay.name));
+        choice.recordFailure(relay.name, "unconfirmed", 0);
+      }
+      const remote = zones.filter((zone) => zone !== "a");
+      expect(remote.length).toEqual(2);
+      expect(new Set(remote).size).toEqual(2);
+      expect(zones.slice(-2)).toEqual(remote);
+    });
+
+    it("remains while others ask this proxy, and ends with an answer of the store", () => {
+      const choice = choiceOf("h0", proxies);
+      choice.recordStoreFailure(1_000);
+      choice.recordQuestion(1_000);
+      expect(choice.choose(1_100) === undefined).toEqual(false);
+      choice.recordStoreAnswer(900);
+      expect(choice.isDetour).toEqual(true);
+      choice.recordStoreAnswer(1_200);
+      expect(choice.isDetour).toEqual(false);
+      expect(choice.choose(1_300)).toEqual(undefined);
+    });
+
+    it("probes the store at growing intervals", () => {
+      const choice = choiceOf("h0", proxies);
+      let now = 0;
+      const pauses: number[] = [];
+      for (let failure = 0; failure < 5; failure += 1) {
+        choice.recordStoreFailure(now);
+        const before = now;
+        while (!choice.isProbeDue(now)) now += 10;
+        pauses.push(now - before);
+      }
+      expect(pauses[0]!).toBeLessThanOrEqual(2_510);
+      expect(pauses.at(-1)!).toBeGreaterThanOrEqual(6_000);
+      expect(pauses.at(-1)!).toBeLessThanOrEqual(10_010);
+    });
+  });
+
   it("is none while others ask this proxy", () => {
     const proxies = candidates(13);
     const proxy = proxies.find(({ name }) =>
@@ -101,6 +151,22 @@
     expect(await answer).toEqual(false);
   });
 
+  it("that arrives during a call is expected to wait for its rest and the next one", async () => {
+    const questions = new CoveredQuestions();
+    expect(questions.expectedWait()).toEqual(0);
+    const end = questions.beginCall();
+    await new Promise((resolve) => setTimeout(resolve, 30));
+    end(true);
+    const between = questions.expectedWait();
+    expect(between).toBeGreaterThanOrEqual(25);
+    const startedAt = performance.now();
+    questions.beginCall();
+    expect(questions.expectedWait(startedAt)).toBeGreaterThanOrEqual(
+      1.9 * between,
+    );
+    expect(questions.expectedWait(startedAt + 10_000)).toEqual(between);
+  });
+
   it("is answered without confirmation at its timeout", async () => {
     expect(await new CoveredQuestions().wait(5)).toEqual(false);
   });
@@ -257,6 +323,35 @@
     });
   }
 
+  for (const mode of ["refusing", "silent"] as const) {
+    for (const count of [4, 24, 79]) {
+      it(`follow it through other zones while it turns a zone away (${mode}, ${count})`, async () => {
+        let ages: readonly number[] = [];
+        let calls = 0;
+        await run({ count, end: 30_000 }, (zones) => {
+          const away = zones.proxies.filter(({ zone }) => zone === "zone-0");
+          const callsOf = () => away.reduce((sum, p) => sum + p.way.calls, 0);
+          setTimeout(() => {
+            for (const { way } of away) way.mode = mode;
+          }, 8_000);
+          setTimeout(() => calls -= callsOf(), 13_000);
+          // The first confirmation over another zone may take longer than a lease.
+          setInterval(() => {
+            const now = performance.now();
+            if (now < 12_000 || now > 28_000) return;
+            ages = [...ages, ...away.map(({ age }) => age)];
+          }, 50);
+          setTimeout(() => calls += callsOf(), 28_000);
+        });
+        const late = ages.filter((age) => age > LEASE_MS).length;
+        expect(late / ages.length).toBeLessThan(0.05);
+        const proxies = Math.ceil(count / ZONE_COUNT);
+        // Three tables, each at most twice a second, as by proxies that have nobody to ask.
+        expect(calls / 15 / proxies).toBeLessThan(6);
+      });
+    }
+  }
+
   it("receive a change within a second and a half, also a deletion", async () => {
     const put = (rows: Rows, key: string) =>
       rows.apply({
