Ask a relay without confirmation less and less often

Change: the pause doubles up to 8 s for both kinds of failure. An answer of the store to the host itself ends the pauses of relays that had no confirmation, so the return of the store is noticed as before.

Test that failed first: relay_test 'ask each other seldom while it is away for all', 6.0 calls a second and host before, below 1 (what a host asks while the store answers) now.

--- a/src/plugins/relay/relay_choice.ts
+++ b/src/plugins/relay/relay_choice.ts
@@ -19,12 +19,12 @@
 /** How long a proxy that was asked goes on following the store itself, in ms; many times the interval of the questions. */
 const DUTY_MS = 5_000;
 
-/** Pause before a relay that the store does not answer is asked again, in ms. */
-const UNCONFIRMED_PAUSE_MS = 500;
-
-/** First pause before a silent relay is asked again, in ms; doubled after each further failure up to the maximum. */
-const SILENCE_PAUSE_MS = 1_000;
-const MAX_SILENCE_PAUSE_MS = 8_000;
+/** Pause before a relay that failed once is asked again, in ms; doubled after each further failure up to the maximum. */
+const FAILURE_PAUSE_MS: Readonly<Record<RelayFailure, number>> = {
+  silent: 1_000,
+  unconfirmed: 500,
+};
+const MAX_FAILURE_PAUSE_MS = 8_000;
 
 /** Number of other zones whose relays a proxy asks while the store does not answer it. */
 const DETOUR_ZONE_COUNT = 2;
@@ -73,6 +73,8 @@
 }
 
 interface Failure {
+  readonly reason: RelayFailure;
+  /** Number of consecutive failures. */
   readonly count: number;
   /** Monotonic ms until which the relay is not asked. */
   readonly until: number;
@@ -139,7 +141,12 @@
 
   /** Records when the store last answered a call of this proxy, in monotonic ms. */
   recordStoreAnswer(at: number): void {
-    if (this.#detour && at > this.#detour.since) this.#detour = undefined;
+    if (!this.#detour || at <= this.#detour.since) return;
+    this.#detour = undefined;
+    // The store probably answers the relays again, too.
+    for (const [name, { reason }] of this.#failures) {
+      if (reason === "unconfirmed") this.#failures.delete(name);
+    }
   }
 
   /** Records that a relay passed on an answer of the store. */
@@ -154,13 +161,13 @@
     now = performance.now(),
   ): void {
     const before = this.#failures.get(name)?.count ?? 0;
-    const count = reason === "silent" ? before + 1 : before;
-    const pause = reason === "silent"
-      ? Math.min(MAX_SILENCE_PAUSE_MS, SILENCE_PAUSE_MS * 2 ** before)
-      : UNCONFIRMED_PAUSE_MS;
+    const pause = Math.min(
+      MAX_FAILURE_PAUSE_MS,
+      FAILURE_PAUSE_MS[reason] * 2 ** before,
+    );
     // Jitter keeps a zone's proxies from returning to a relay all at once.
     const until = now + pause * (0.75 + Math.random() / 2);
-    this.#failures.set(name, { count, until });
+    this.#failures.set(name, { reason, count: before + 1, until });
   }
 
   #candidates(): Chosen {
--- a/test/platform/relay_test.ts
+++ b/test/platform/relay_test.ts
@@ -323,6 +323,21 @@
     });
   }
 
+  it("ask each other seldom while it is away for all", async () => {
+    let questions = 0;
+    await run({ count: 79, end: 25_000 }, (zones) => {
+      const asked = () =>
+        zones.proxies.reduce((sum, proxy) => sum + proxy.questions, 0);
+      setTimeout(() => {
+        for (const { way } of zones.proxies) way.mode = "refusing";
+      }, 8_000);
+      setTimeout(() => questions -= asked(), 12_000);
+      setTimeout(() => questions += asked(), 24_000);
+    });
+    // No more than while the store answers, when each proxy asks once a second.
+    expect(questions / 12 / 79).toBeLessThan(1);
+  });
+
   for (const mode of ["refusing", "silent"] as const) {
     for (const count of [4, 24, 79]) {
       it(`follow it through other zones while it turns a zone away (${mode}, ${count})`, async () => {
