--- a/src/commands/status_command.ts
+++ b/src/commands/status_command.ts
@@ -15,6 +15,7 @@
 import { checkSettings, settingsSchema } from "../kernel/settings.ts";
 import type { Host } from "../plugins/host_list/host_list.ts";
 import { readHosts } from "../plugins/host_list/http_host_list.ts";
+import { createEventLog } from "../kernel/events.ts";
 import { resolvePeerCertificate } from "../plugins/peers/peer_certificate.ts";
 import { PeerClient } from "../plugins/peers/peer_client.ts";
 import { SocketTraffic } from "../plugins/peers/socket_traffic.ts";
@@ -90,7 +91,10 @@
     if (checked.isErr()) return err(checked.error);
     const hosts = await listHosts(checked.value.hostList);
     if (hosts.isErr()) return err(hosts.error);
-    const certificate = resolvePeerCertificate(checked.value);
+    const certificate = resolvePeerCertificate(
+      checked.value,
+      createEventLog("silent", {}),
+    );
     const client = new PeerClient({
       keys: resolvePeerKeys(checked.value),
       traffic: new SocketTraffic(),
--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -32,6 +32,8 @@
   UNEXPECTED: event(106, "unexpected", "error"),
   SETTINGS_RELOADED: event(107, "settings-reloaded", "info"),
   LINES_OMITTED: event(108, "lines-omitted", "warn"),
+  CERTIFICATE_RELOADED: event(109, "certificate-reloaded", "info"),
+  CERTIFICATE_REJECTED: event(110, "certificate-rejected", "warn"),
   REVISION_IN_FORCE: event(201, "revision-in-force", "info"),
   REVISION_REJECTED: event(202, "revision-rejected", "warn"),
   REVISION_FROM_PEER: event(203, "revision-from-peer", "info"),
--- a/src/plugins/callers/caller_certificate.ts
+++ b/src/plugins/callers/caller_certificate.ts
@@ -3,62 +3,89 @@
  *
  * @module
  */
-import { readFileSync, statSync } from "node:fs";
+import { statSync } from "node:fs";
 import type { TlsOptions } from "pg-gateway";
+import {
+  type CertificateFiles,
+  loadCertificate,
+} from "../../kernel/certificate_files.ts";
+import { type EventLog, Events } from "../../kernel/events.ts";
 import type { Settings } from "../../kernel/settings.ts";
 
+/** Shortest interval between two checks of the files, in ms. */
 const CHECK_INTERVAL_MS = 2_000;
 
+/** Files of the certificate, and when they are checked. */
+export interface CallerCertificateOptions extends CertificateFiles {
+  /** Shortest interval between two checks, in ms. */
+  readonly checkInterval?: number;
+  readonly log: EventLog;
+}
+
 /** Certificate and key from two PEM files. */
 export class CallerCertificate {
-  readonly #certificate: string;
-  readonly #key: string;
+  readonly #options: CallerCertificateOptions;
   #loaded: TlsOptions;
   #changedAt: number;
   #checkedAt: number;
 
-  constructor(certificate: string, key: string) {
-    this.#certificate = certificate;
-    this.#key = key;
+  /** Throws if the files can't be used. */
+  constructor(options: CallerCertificateOptions) {
+    this.#options = options;
     this.#changedAt = this.#lastChange();
     this.#checkedAt = performance.now();
-    this.#loaded = this.#load();
+    const loaded = loadCertificate(options);
+    if (loaded.isErr()) throw new Error(loaded.error);
+    this.#loaded = loaded.value;
   }
 
-  /** The current certificate and key; files that can't be read leave the previous pair in use. */
+  /** The current certificate and key; files that can't be used leave the former pair in use. */
   current(): TlsOptions {
+    const { checkInterval = CHECK_INTERVAL_MS } = this.#options;
     const now = performance.now();
-    if (now - this.#checkedAt < CHECK_INTERVAL_MS) return this.#loaded;
+    if (now - this.#checkedAt < checkInterval) return this.#loaded;
     this.#checkedAt = now;
-    try {
-      const changedAt = this.#lastChange();
-      if (changedAt === this.#changedAt) return this.#loaded;
-      this.#loaded = this.#load();
-      this.#changedAt = changedAt;
-    } catch {
-      // The files are probably being replaced; a later connection retries.
-    }
+    this.#reload();
     return this.#loaded;
   }
 
-  #lastChange(): number {
-    const files = [this.#certificate, this.#key];
-    return Math.max(...files.map((file) => statSync(file).mtimeMs));
+  #reload(): void {
+    const { log } = this.#options;
+    const changedAt = this.#lastChange();
+    if (changedAt === this.#changedAt) return;
+    this.#changedAt = changedAt;
+    const loaded = loadCertificate(this.#options);
+    if (loaded.isErr()) {
+      log.write(Events.CERTIFICATE_REJECTED, {
+        purpose: "callers",
+        reason: loaded.error,
+      });
+      return;
+    }
+    this.#loaded = loaded.value;
+    log.write(Events.CERTIFICATE_RELOADED, { purpose: "callers" });
   }
 
-  #load(): TlsOptions {
-    return {
-      cert: readFileSync(this.#certificate),
-      key: readFileSync(this.#key),
-    };
+  /** Time of the latest change of the files, in ms; a missing file counts as changed. */
+  #lastChange(): number {
+    const { certificate, key } = this.#options;
+    const times = [certificate, key].map((file) =>
+      statSync(file, { throwIfNoEntry: false })?.mtimeMs ?? 0
+    );
+    return times.includes(0) ? 0 : Math.max(...times);
   }
 }
 
-/** Loads the certificate and key that the settings name; undefined if either is not set. Throws if the files can't be read. */
+/** Loads the certificate and key that the settings name; undefined if either is not set. Throws if the files can't be used. */
 export function createCallerCertificate(
   settings: Settings,
+  log: EventLog,
 ): CallerCertificate | undefined {
   const { callerCertificate, callerKey } = settings;
   if (!callerCertificate || !callerKey) return undefined;
-  return new CallerCertificate(callerCertificate, callerKey);
+  return new CallerCertificate({
+    certificate: callerCertificate,
+    key: callerKey,
+    log,
+  });
 }
--- a/src/plugins/callers/plugin.ts
+++ b/src/plugins/callers/plugin.ts
@@ -34,5 +34,5 @@
       connections: context.use("connections"),
       classifier: context.use("classification"),
       ledger: context.use("ledger"),
-    }, createCallerCertificate(context.settings)),
+    }, createCallerCertificate(context.settings, context.log)),
 });
--- a/src/plugins/peers/peer_certificate.ts
+++ b/src/plugins/peers/peer_certificate.ts
@@ -3,64 +3,56 @@
  *
  * @module
  */
-import { readFileSync, unwatchFile, watchFile } from "node:fs";
-import type { SecureContextOptions, Server as TlsServer } from "node:tls";
+import { unwatchFile, watchFile } from "node:fs";
+import type { SecureContextOptions } from "node:tls";
+import {
+  type CertificateFiles,
+  loadCertificate,
+  type LoadedCertificate,
+} from "../../kernel/certificate_files.ts";
+import { type EventLog, Events } from "../../kernel/events.ts";
 import type { Settings } from "../../kernel/settings.ts";
 
-const WATCH_INTERVAL_MS = 5_000;
-
-/** Paths of the PEM files: certificate, private key and the peers' certificate authority. */
-export interface CertificateFiles {
-  readonly certificate: string;
-  readonly key: string;
-  readonly authority: string;
-}
+/** Interval at which the files are checked for changes, in ms. */
+const WATCH_INTERVAL_MS = 1_000;
 
 /** Certificate and key of this process, and the authority that signs the peers' certificates. */
 export class PeerCertificate {
-  readonly #files: CertificateFiles;
+  readonly #files: Required<CertificateFiles>;
+  readonly #log: EventLog;
   readonly #listeners: (() => void)[] = [];
+  #loaded: LoadedCertificate;
 
-  constructor(files: CertificateFiles) {
+  /** Throws if the files can't be used. */
+  constructor(files: Required<CertificateFiles>, log: EventLog) {
     this.#files = files;
+    this.#log = log;
+    const loaded = loadCertificate(files);
+    if (loaded.isErr()) throw new Error(loaded.error);
+    this.#loaded = loaded.value;
     for (const file of Object.values(files)) {
       watchFile(
         file,
         { interval: WATCH_INTERVAL_MS, persistent: false },
-        () => this.#notifyListeners(),
+        () => this.#reload(),
       );
     }
   }
 
-  /** Reads the files and returns TLS options for a client. */
+  /** TLS options for a client. */
   clientOptions(): SecureContextOptions {
-    return {
-      cert: readFileSync(this.#files.certificate),
-      key: readFileSync(this.#files.key),
-      ca: readFileSync(this.#files.authority),
-    };
+    return this.#loaded;
   }
 
-  /** Reads the files and returns TLS options for a server that requires client certificates. */
+  /** TLS options for a server that requires client certificates. */
   serverOptions(): SecureContextOptions & {
     readonly requestCert: true;
     readonly rejectUnauthorized: true;
   } {
-    return {
-      ...this.clientOptions(),
-      requestCert: true,
-      rejectUnauthorized: true,
-    };
-  }
-
-  /** Installs each reloaded certificate in a TLS server. */
-  attachServer(server: unknown): void {
-    this.subscribe(() =>
-      (server as TlsServer).setSecureContext(this.clientOptions())
-    );
+    return { ...this.#loaded, requestCert: true, rejectUnauthorized: true };
   }
 
-  /** Calls the listener after a file has changed. */
+  /** Calls the listener once changed files are in use. */
   subscribe(listener: () => void): void {
     this.#listeners.push(listener);
   }
@@ -70,22 +62,28 @@
     for (const file of Object.values(this.#files)) unwatchFile(file);
   }
 
-  /** Ignores errors: a file may be partially written, so the old certificate stays in use until certificate and key match. */
-  #notifyListeners(): void {
-    try {
-      for (const listener of this.#listeners) listener();
-    } catch {
+  #reload(): void {
+    const loaded = loadCertificate(this.#files);
+    if (loaded.isErr()) {
+      this.#log.write(Events.CERTIFICATE_REJECTED, {
+        purpose: "peers",
+        reason: loaded.error,
+      });
       return;
     }
+    this.#loaded = loaded.value;
+    this.#log.write(Events.CERTIFICATE_RELOADED, { purpose: "peers" });
+    for (const listener of this.#listeners) listener();
   }
 }
 
-/** Resolves the certificate from the settings; returns undefined unless certificate, key and authority are all set. */
+/** Resolves the certificate from the settings; returns undefined unless certificate, key and authority are all set. Throws if the files can't be used. */
 export function resolvePeerCertificate(
   settings: Pick<
     Settings,
     "peerCertificate" | "peerCertificateKey" | "peerAuthority"
   >,
+  log: EventLog,
 ): PeerCertificate | undefined {
   const { peerCertificate, peerCertificateKey, peerAuthority } = settings;
   if (!peerCertificate || !peerCertificateKey || !peerAuthority) return;
@@ -93,5 +91,5 @@
     certificate: peerCertificate,
     key: peerCertificateKey,
     authority: peerAuthority,
-  });
+  }, log);
 }
--- a/src/plugins/peers/peer_server.ts
+++ b/src/plugins/peers/peer_server.ts
@@ -13,6 +13,7 @@
 } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo, Socket } from "node:net";
+import { Server as TlsServer } from "node:tls";
 import {
   type AnyTRPCRouter,
   callTRPCProcedure,
@@ -69,6 +70,8 @@
   readonly #replayWindow = new ReplayWindow();
   readonly #procedures: Parameters<typeof trpc.router>[0] = {};
   #router: AnyTRPCRouter = trpc.router({});
+  /** Connections whose peer was verified with the current certificate files. */
+  #verifiedSockets = new WeakSet<Socket>();
   #incarnation = createIncarnationId();
   #refusalLoggedAt = -Infinity;
 
@@ -85,7 +88,10 @@
       "connection",
       (socket: Socket) => options.traffic.add(socket),
     );
-    options.certificate?.attachServer(this.#server);
+    this.#server.on("secureConnection", (socket: Socket) => {
+      this.#verifiedSockets.add(socket);
+    });
+    options.certificate?.subscribe(() => this.#renewCertificate());
   }
 
   /** Registers the handler of a procedure. */
@@ -119,6 +125,12 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const { certificate } = this.#options;
+    if (certificate && !this.#verifiedSockets.has(request.socket)) {
+      // The peer's certificate may have been withdrawn; its client calls again over a new connection.
+      request.socket.destroy();
+      return;
+    }
     const path = request.url ?? "";
     const body = await readBody(request);
     const signed = parseSignedHeader(request.headers[SIGNATURE_HEADER] ?? "");
@@ -151,6 +163,16 @@
     return await this.#run(path, body);
   }
 
+  /** Takes changed certificate files; connections that were verified with the former ones serve no further request. */
+  #renewCertificate(): void {
+    const { certificate } = this.#options;
+    if (certificate && this.#server instanceof TlsServer) {
+      this.#server.setSecureContext(certificate.clientOptions());
+    }
+    this.#verifiedSockets = new WeakSet();
+    this.#server.closeIdleConnections();
+  }
+
   /**
    * Calls the procedure directly: tRPC's HTTP adapter takes several times as long
    * as a call.
--- a/src/plugins/peers/trpc_peers.ts
+++ b/src/plugins/peers/trpc_peers.ts
@@ -55,7 +55,7 @@
 
   constructor(settings: PeerSettings, log: EventLog) {
     this.#settings = settings;
-    this.#certificate = resolvePeerCertificate(settings);
+    this.#certificate = resolvePeerCertificate(settings, log);
     const shared = {
       address: settings.address,
       keys: resolvePeerKeys(settings),
