--- a/src/plugins/health/group_watch.ts
+++ b/src/plugins/health/group_watch.ts
@@ -56,7 +56,7 @@
 export class GroupWatch {
   readonly slow = new SlowInstances();
   readonly staleness = new Staleness();
-  readonly hold = new WriteHold(() => this.#handleChange());
+  readonly hold = new WriteHold(() => this.#handleHoldChange());
   group: Group;
   /** The last primary that a majority confirmed. */
   confirmed: ConfirmedPrimary | undefined;
@@ -226,6 +226,15 @@
     this.#log(Events.PRIMARY_FOUND, { primary: instance.name, term });
   }
 
+  /** After a hold the primary must be confirmed again, since the hold may have been for its replacement. */
+  #handleHoldChange(): void {
+    if (!this.hold.active) {
+      this.#confirmAfter = performance.now();
+      this.#rounds.request();
+    }
+    this.#handleChange();
+  }
+
   #handleChange(): void {
     this.#waiters.recheck();
     this.#notifyIfChanged();
--- a/test/health_test.ts
+++ b/test/health_test.ts
@@ -240,6 +240,22 @@
       expect(afterRelease._unsafeUnwrap().name).toEqual("a");
     });
 
+    it("is not the replaced one after a hold, though it was confirmed just before", async () => {
+      (await health.primary(DATABASE, longDeadline()))._unsafeUnwrap();
+      health.hold(DATABASE, LONG_WAIT_MS);
+      const history = {
+        seenTerm: 2,
+        lastTerm: 2,
+        termStarts: [{ term: 1, lsn: 0n }, { term: 2, lsn: 100n }],
+      };
+      control.statuses.set("a", createStatus({ role: "fenced", seenTerm: 2 }));
+      control.statuses.set("b", createStatus({ ...history, role: "primary" }));
+      control.statuses.set("c", createStatus({ ...history, source: "b" }));
+      health.release(DATABASE);
+      const found = await health.primary(DATABASE, longDeadline());
+      expect(found._unsafeUnwrap().name).toEqual("b");
+    });
+
     it("must be confirmed again after a reported failure", async () => {
       await health.primary(DATABASE, longDeadline());
       control.statuses.delete("a");
