Let the test of shares begin once no statement is refused any more

Statements may be refused until the shares follow the demands, and the count comes with a report that is up to 100 ms old, more under load. Shown by a trace beside 14 busy processes: 2 of 8 runs failed, in one the last refusal was 23 ms before the kill, in the other 24 instead of 20 refusals, the last one 269 ms after the kill, of the same early phase.

Change: the kill waits until for 500 ms no statement was refused and every process has reported twice in that time. The check stays: none is refused from the kill on.

After: 7 of 7 beside the same load.

--- a/test/connections_test.ts
+++ b/test/connections_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "earl";
 import { createServer, type Server, type Socket } from "node:net";
 import { once } from "node:events";
+import { setTimeout as sleep } from "node:timers/promises";
 import { type ResultCode, ResultCodes } from "../src/kernel/result_codes.ts";
 import type { Priority } from "../src/plugins/connections/connections.ts";
 import { Group, type GroupInstance } from "./fixtures/group.ts";
@@ -19,6 +20,8 @@
 const LIMIT = 20;
 const REQUEST_TIMEOUT_MS = 30_000;
 const SHORT_DEADLINE_MS = 200;
+/** Time without a further failure after which the shares count as settled. */
+const SETTLE_MS = 500;
 
 describe("connections", () => {
   let group: Group;
@@ -387,15 +390,23 @@
       processes.setCallers("proxy-4", 100);
       const held = () => processes.sum((report) => report.open);
       const settled = () => held() >= 0.9 * LIMIT && held() <= LIMIT;
-      // The other proxies then hold less than 90% of the limit until they take over the killed one's share.
-      await eventually(() =>
-        settled() && processes.report("proxy-4").open >= 0.2 * LIMIT
-      );
-      // A statement may be refused until the shares follow the demands.
+      const survivors = ["proxy-1", "proxy-2", "proxy-3"];
       const failed = () =>
-        ["proxy-1", "proxy-2", "proxy-3"].map((name) =>
-          processes.report(name).failed
+        survivors.map((name) => processes.report(name).failed);
+      const reportCounts = () =>
+        survivors.map((name) => processes.reportCount(name));
+      // A statement may be refused until the shares follow the demands, and a report is older than what happens.
+      await eventually(async () => {
+        const [earlier, counts] = [failed(), reportCounts()];
+        await sleep(SETTLE_MS);
+        const hasReported = reportCounts().every((count, index) =>
+          count >= counts[index]! + 2
         );
+        // The other proxies then hold less than 90% of the limit until they take over the killed one's share.
+        return settled() && hasReported &&
+          processes.report("proxy-4").open >= 0.2 * LIMIT &&
+          failed().every((count, index) => count === earlier[index]);
+      });
       const failedBefore = failed();
       await processes.kill("proxy-4");
       const killed = performance.now();
