Let tests wait for replicas that have caught up, not for a pause of the writers

Change: the primary is asked first; then every instance, of the same term and not fenced, must have applied at least what it had received. What the tests check afterwards is unchanged.

--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -146,20 +146,26 @@
     await this.stack.query(instance, text);
   }
 
+  /** Whether all instances have applied what the only primary had received when it was asked; it may receive more meanwhile. */
   async #isInSync(): Promise<boolean> {
+    const primaries = (await this.#statuses())
+      .filter((one) => one?.["role"] === "primary");
+    if (primaries.length !== 1) return false;
+    const [{ last_term: term, received }] = primaries as [StatusRow];
+    return (await this.#statuses()).every((one) =>
+      one !== undefined && one["role"] !== "fenced" &&
+      one["last_term"] === term &&
+      BigInt(String(one["applied"])) >= BigInt(String(received))
+    );
+  }
+
+  #statuses(): Promise<readonly (StatusRow | undefined)[]> {
     const text = "SELECT * FROM marjoramshed_status()";
-    const statuses = await Promise.all(
+    return Promise.all(
       this.instances.map((name) =>
         this.stack.query(name, text).then((rows) => rows[0], () => undefined)
       ),
     );
-    const primaries = statuses.filter((one) => one?.["role"] === "primary");
-    if (primaries.length !== 1) return false;
-    return statuses.every((one) =>
-      one !== undefined && one["role"] !== "fenced" &&
-      one["last_term"] === primaries[0]!["last_term"] &&
-      one["applied"] === primaries[0]!["received"]
-    );
   }
 
   async #waitUntilWritable(proxy: string): Promise<void> {
@@ -178,6 +184,8 @@
   }
 }
 
+type StatusRow = Readonly<Record<string, unknown>>;
+
 /** Starts a deployment with three instances and a network. */
 export async function createDeployment(
   options: StackOptions = {},
