Take a caller's certificate whose two files changed within one clock tick

A key that is written within the same tick of the file system's clock as its certificate has the same time, so the pair was not read again, for good.

Change: the time is recorded once files are in use; rejected ones are read again at each check and logged once.

Peers' files are each compared with their own former time and are not affected.

--- a/src/plugins/callers/caller_certificate.ts
+++ b/src/plugins/callers/caller_certificate.ts
@@ -26,7 +26,10 @@
 export class CallerCertificate {
   readonly #options: CallerCertificateOptions;
   #loaded: TlsOptions;
+  /** Time of the latest change of the files in use, in ms. */
   #changedAt: number;
+  /** Time of the latest change of the files that were last rejected, in ms. */
+  #rejectedChange = NaN;
   #checkedAt: number;
 
   /** Throws if the files can't be used. */
@@ -53,15 +56,18 @@
     const { log } = this.#options;
     const changedAt = this.#lastChange();
     if (changedAt === this.#changedAt) return;
-    this.#changedAt = changedAt;
     const loaded = loadCertificate(this.#options);
     if (loaded.isErr()) {
+      // Read again at each check: both files may change within one tick of the file system's clock.
+      if (changedAt === this.#rejectedChange) return;
+      this.#rejectedChange = changedAt;
       log.write(Events.CERTIFICATE_REJECTED, {
         purpose: "callers",
         reason: loaded.error,
       });
       return;
     }
+    this.#changedAt = changedAt;
     this.#loaded = loaded.value;
     log.write(Events.CERTIFICATE_RELOADED, { purpose: "callers" });
   }
--- a/test/certificates_test.ts
+++ b/test/certificates_test.ts
@@ -4,7 +4,13 @@
  *
  * @module
  */
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import {
+  mkdtempSync,
+  rmSync,
+  statSync,
+  utimesSync,
+  writeFileSync,
+} from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, before, beforeEach, describe, it } from "node:test";
@@ -218,7 +224,10 @@
       expect(String(certificate.current().cert)).toEqual(first.certificate);
       expect(String(certificate.current().key)).toEqual(first.key);
       expect(lines.length).toEqual(1);
+      const { mtime } = statSync(files.certificate);
       writeFileSync(files.key, renewed.key);
+      // Both files may have changed within one tick of the file system's clock.
+      utimesSync(files.key, mtime, mtime);
       expect(String(certificate.current().cert)).toEqual(renewed.certificate);
       expect(String(certificate.current().key)).toEqual(renewed.key);
     });
