Answer every statement of a planned stop before the process ends

What callers saw: on a host that was stopped while their sessions stayed in use, statements that instances were running when the process ended got no answer; others got UNKNOWN for no reason but the stop.

Cause: a stop closed a session only after 250 ms without a statement, so a session with shorter pauses was never closed. At 80% of the grace the pools were closed under the running statements, sessions went on reading statements and opening connections while other services stopped, and process.exit cut them off.

A statement that arrives after its session was closed is not run. Stopped pools open no connection.

Why it works: a close that comes with an answer leaves nothing outstanding, so a session with any pause ends without a failure; without one, its next statement gets a definite answer before the close.

--- a/src/plugins/connections/upstream_pools.ts
+++ b/src/plugins/connections/upstream_pools.ts
@@ -93,6 +93,7 @@
   /** Number of proxies at the last maintenance run. */
   #proxyCount = 1;
   #timer: NodeJS.Timeout | undefined;
+  #stopped = false;
 
   constructor(options: UpstreamPoolsOptions) {
     this.#options = options;
@@ -104,14 +105,11 @@
     this.#timer = setInterval(() => this.#maintain(), DEMAND_SAMPLE_MS);
   }
 
-  /** Stops the maintenance and closes all connections, including those in use. */
+  /** Stops the maintenance and closes all connections, including those in use; no further ones are opened. */
   stop(): void {
+    this.#stopped = true;
     clearInterval(this.#timer);
-    for (const { pool } of this.#entries.values()) {
-      pool.destroy(
-        createFailure(ResultCodes.SHUTTING_DOWN, "this proxy is stopping"),
-      );
-    }
+    for (const { pool } of this.#entries.values()) pool.destroy(stopping());
     this.#entries.clear();
   }
 
@@ -122,6 +120,7 @@
     deadline: number,
     usefulUntil?: number,
   ): ResultAsync<UpstreamLink, Failure> {
+    if (this.#stopped) return errAsync(stopping());
     const entry = this.#entry(id);
     if (!entry) {
       return errAsync(createFailure(
@@ -145,6 +144,7 @@
     priority: Priority,
     deadline: number,
   ): Promise<ReleaseSlot | undefined> {
+    if (this.#stopped) return undefined;
     return await this.#entry(id)?.transactions.acquire(priority, deadline);
   }
 
@@ -248,6 +248,10 @@
   }
 }
 
+function stopping(): Failure {
+  return createFailure(ResultCodes.SHUTTING_DOWN, "this proxy is stopping");
+}
+
 function isSameProcess(a: ListedInstance, b: ListedInstance): boolean {
   return a.host === b.host && a.port === b.port && a.startedAt === b.startedAt;
 }
--- a/src/plugins/sessions/caller.ts
+++ b/src/plugins/sessions/caller.ts
@@ -43,12 +43,16 @@
 export interface CallerChannel {
   /** Resolves to the next statement, or to undefined once the caller has disconnected. */
   next(): Promise<CallerRequest | undefined>;
+  /** Takes the next statement if it has already been received. */
+  takeReceived(): CallerRequest | undefined;
+  /** Whether no complete or incomplete statement waits to be read. */
+  readonly inputEmpty: boolean;
   /** Forwards the complete answer of an instance. */
   answer(answer: Answer): void;
   /** Reports success for a statement that the proxy handles locally. */
   complete(state: TransactionState): void;
   /** Sends a failure as the answer to a statement. */
   refuse(failure: Failure, state: TransactionState): void;
-  /** Closes the connection after pending output has been flushed. */
+  /** Closes the connection after pending output has been flushed; statements that arrive later are ignored. */
   close(): void;
 }
--- a/src/plugins/sessions/caller_session.ts
+++ b/src/plugins/sessions/caller_session.ts
@@ -18,7 +18,7 @@
   CallerStatement,
 } from "./caller.ts";
 import { preparedName } from "./link_preparation.ts";
-import { type Outcome, transactionLost } from "./outcome.ts";
+import { type Outcome, outcomeUnknown, transactionLost } from "./outcome.ts";
 import { runRead } from "./read_run.ts";
 import {
   type SessionContext,
@@ -26,13 +26,25 @@
   type StatementOperation,
   type Task,
 } from "./session_context.ts";
+import {
+  type DrainableSession,
+  type SessionPhase,
+  stoppingFailure,
+} from "./session_drain.ts";
 import { Transaction } from "./transaction.ts";
 import { runWrite } from "./write_run.ts";
 
 type PendingTransaction = Promise<Result<Transaction, Failure>>;
 
+/** Statements that callers send ahead of the ones they are for; an operation does not end with them. */
+const LEADING_STATEMENTS: ReadonlySet<CallerStatement["kind"]> = new Set([
+  "set",
+  "prepare",
+  "deallocate",
+]);
+
 /** The session of one caller's connection, with at most one open transaction. */
-export class CallerSession {
+export class CallerSession implements DrainableSession {
   readonly #context: SessionContext;
   readonly #channel: CallerChannel;
   readonly #database: string;
@@ -42,7 +54,9 @@
   #failed = false;
   /** Route of the open transaction; a new configuration does not change it. */
   #route: Route | undefined;
-  #busy = false;
+  #phase: SessionPhase = "open";
+  /** The statement that is running. */
+  #current: CallerRequest | undefined;
   /** Monotonic time in ms of the last answer. */
   #lastAnswerAt = performance.now();
   #idleTimer: NodeJS.Timeout | undefined;
@@ -57,33 +71,62 @@
     this.#database = database;
   }
 
-  /** Time in ms since the last answer; 0 while a statement is running or a transaction is open or failed. */
-  get idleTime(): number {
-    if (this.#busy || this.#state !== "idle") return 0;
+  get isBusy(): boolean {
+    return this.#current !== undefined;
+  }
+
+  get quietTime(): number {
     return performance.now() - this.#lastAnswerAt;
   }
 
-  /** Whether a transaction, open or failed, is waiting for its next statement. */
-  get idleInTransaction(): boolean {
-    return !this.#busy && this.#state !== "idle";
+  get inTransaction(): boolean {
+    return this.#state !== "idle";
+  }
+
+  get inputEmpty(): boolean {
+    return this.#channel.inputEmpty;
   }
 
-  /** Answers statements until the caller disconnects or its connection is closed. */
+  enter(phase: SessionPhase): void {
+    this.#phase = phase;
+  }
+
+  /** Answers statements until the caller disconnects, its connection is closed, or the session ends in a drain. */
   async run(): Promise<void> {
     for (;;) {
       const request = await this.#channel.next();
       clearTimeout(this.#idleTimer);
       if (!request) break;
-      this.#busy = true;
+      this.#current = request;
       await this.#handle(request);
-      this.#busy = false;
+      this.#current = undefined;
       this.#lastAnswerAt = performance.now();
+      if (this.#endsAfter(request.statement)) break;
       this.#startIdleTimer();
     }
     this.endTransaction();
     this.#channel.close();
   }
 
+  close(): void {
+    this.#channel.close();
+  }
+
+  abandon(): void {
+    const current = this.#current;
+    const interruption = this.#transaction
+      ? transactionLost("this proxy stopped before the transaction ended")
+      : outcomeUnknown("this proxy stopped before the instance answered");
+    this.endTransaction();
+    if (current) this.#refuse(current, interruption);
+    for (;;) {
+      const request = this.#channel.takeReceived();
+      if (!request) break;
+      this.#refuse(request, stoppingFailure());
+    }
+    this.#channel.close();
+  }
+
   /** Rolls back an open transaction; the caller's next statement is refused. */
   endTransaction(): void {
     const pending = this.#transaction;
@@ -100,6 +143,13 @@
     return this.#transaction ? "open" : "idle";
   }
 
+  /** Whether the session ends together with the answer to a statement, so that its caller has nothing outstanding. */
+  #endsAfter({ kind }: CallerStatement): boolean {
+    if (this.#phase === "open" || this.#state !== "idle") return false;
+    if (!this.#channel.inputEmpty) return false;
+    return this.#phase === "refusing" || !LEADING_STATEMENTS.has(kind);
+  }
+
   #startIdleTimer(): void {
     if (!this.#transaction) return;
     const timeout = this.#context.routes.table?.transactionIdleTimeout;
@@ -109,6 +159,9 @@
 
   async #handle(request: CallerRequest): Promise<void> {
     const { statement } = request;
+    if (this.#phase === "refusing" && this.#state === "idle") {
+      return this.#refuse(request, stoppingFailure());
+    }
     switch (statement.kind) {
       case "malformed":
         return this.#refuseInvalid(request, statement.reason);
--- a/test/platform/restart_test.ts
+++ b/test/platform/restart_test.ts
@@ -74,6 +74,32 @@
     expect(await host!.ended()).toEqual(0);
   });
 
+  // Guards against statements that are cut off when sessions stay in use until the stop's deadline.
+  it("answers every statement of sessions that stay in use", async () => {
+    deployment = await Deployment.start();
+    const [host] = deployment.hosts;
+    const callers = await Promise.all(
+      Array.from({ length: 16 }, () => deployment.open(0, "booking")),
+    );
+    const cut: string[] = [];
+    const refused: string[] = [];
+    const load = callers.map(async (caller, index) => {
+      for (let turn = 0; !caller.closed; turn += 1) {
+        const id = `u${index}x${turn}`;
+        const answer = await caller.run(`WRITE ${id} x`, id)
+          .catch(() => undefined);
+        if (!answer) cut.push(id);
+        else if (answer.error) refused.push(answer.error);
+        await sleep(5);
+      }
+    });
+    await sleep(300);
+    host!.signal("SIGTERM");
+    expect(await host!.ended()).toEqual(0);
+    await Promise.all(load);
+    expect({ cut, refused }).toEqual({ cut: [], refused: [] });
+  });
+
   it("ends in time while the store is away", async () => {
     deployment = await Deployment.start();
     await deployment.doors("silent", "silent");
