--- a/src/plugins/callers/caller_listener.ts
+++ b/src/plugins/callers/caller_listener.ts
@@ -99,10 +99,13 @@
     }
   }
 
-  stop(): Promise<void> {
+  async stop(): Promise<void> {
     this.#server.close();
-    for (const { socket } of this.#sessions.values()) socket.destroy();
-    return Promise.resolve();
+    const remaining = [...this.#sessions.values()];
+    for (const { session } of remaining) session.abandon();
+    await Promise.all(
+      remaining.map(({ socket }) => this.#waitForClose(socket)),
+    );
   }
 
   async #accept(socket: Socket): Promise<void> {
--- a/src/plugins/callers/session.ts
+++ b/src/plugins/callers/session.ts
@@ -108,6 +108,16 @@
     if (this.#waiting && !this.#held?.inTransaction) this.#sendTermination();
   }
 
+  /** Ends the session at once; a caller whose statement is running is told that its outcome is unknown. */
+  abandon(): void {
+    this.#draining = true;
+    if (this.#waiting) return this.#sendTermination();
+    this.#end(createFailure(
+      ResultCodes.OUTCOME_UNKNOWN,
+      "the proxy stopped before the statement was answered",
+    ));
+  }
+
   /** The upstream connection that runs the caller's statement, for a cancel request. */
   get activeConnection(): UpstreamConnection | undefined {
     return this.#activeConnection ?? this.#held?.exchange.connection;
@@ -276,12 +286,16 @@
   }
 
   #sendTermination(): void {
-    if (this.#terminationSent) return;
-    this.#terminationSent = true;
-    const failure = createFailure(
+    this.#end(createFailure(
       ResultCodes.SHUTTING_DOWN,
       "the proxy is stopping; connect again",
-    );
+    ));
+  }
+
+  /** Sends the failure that ends the session. */
+  #end(failure: Failure): void {
+    if (this.#terminationSent) return;
+    this.#terminationSent = true;
     this.#socket.end(createFailureMessage(failure, "FATAL").data);
   }
 
--- a/test/session_drain_test.ts
+++ b/test/session_drain_test.ts
@@ -10,6 +10,7 @@
 import { expect } from "earl";
 import { serialize } from "pg-protocol";
 import type { CallerContext } from "../src/plugins/callers/caller_context.ts";
+import { GrammarClassifier } from "../src/plugins/classification/grammar_classifier.ts";
 import { CallerSession } from "../src/plugins/callers/session.ts";
 import { SessionState } from "../src/plugins/callers/session_state.ts";
 
@@ -23,6 +24,57 @@
   });
 }
 
+/** Runs a session with one statement that waits for the primary and is never answered. */
+async function runUnansweredSession(
+  written: Buffer[],
+): Promise<
+  { readonly session: CallerSession; readonly ended: Promise<void> }
+> {
+  const classifier = new GrammarClassifier();
+  await classifier.start();
+  const socket = createSocket(written);
+  const context = {
+    classifier,
+    configuration: {
+      group: () => ({
+        database: "d",
+        writes: { priority: "normal" },
+        queue: { deadline: 10_000 },
+      }),
+    },
+    health: { primary: () => new Promise(() => {}) },
+    metrics: { recordRefusal() {} },
+    log: { write() {} },
+  } as unknown as CallerContext;
+  const session = new CallerSession(
+    context,
+    { id: 1, user: "u", database: "d" },
+    socket as unknown as Socket,
+    new SessionState(),
+  );
+  const ended = new Promise<void>((resolve) => socket.once("finish", resolve));
+  void session.run();
+  socket.push(serialize.query("INSERT INTO t VALUES (1)"));
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  return { session, ended };
+}
+
+// Guards against a statement that is cut off without an answer at the deadline of a planned stop.
+describe("a session whose statement is running at the deadline of a stop", () => {
+  it("reports an unknown outcome and closes the connection", async () => {
+    const written: Buffer[] = [];
+    const { session, ended } = await runUnansweredSession(written);
+    session.drain();
+    expect(written).toEqual([]);
+    session.abandon();
+    await ended;
+    const answer = Buffer.concat(written).toString("latin1");
+    expect(answer.includes("FATAL")).toEqual(true);
+    expect(answer.split("08007").length - 1).toEqual(1);
+    expect(answer.includes("57P01")).toEqual(false);
+  });
+});
+
 describe("a drained session", () => {
   it("reports the shutdown once and runs no statement received at the same time", async () => {
     const written: Buffer[] = [];
