End a line of the platform's protocol at CR LF only

What callers saw: a write whose data had a line feed was cut there and acknowledged, and the rest of the data ran as a statement of its own in the caller's session.

Cause: LineSplitter ended a line at each line feed; the protocol ends it with CR LF. The same code splits the answers of instances, where a row with a line feed ended the answer as malformed, so one mend serves both directions. The stand-in of a group and the tests' caller shared the mistake and hid it; they read lines by CR LF with code of their own.

Why it works: a caller's text can't contain CR LF, as that ends its message, so whatever it contains is passed on as one line.

Two checks of lines_test became stricter: they left out single line feeds and carriage returns before.

--- a/standins/line_group/connection.ts
+++ b/standins/line_group/connection.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Socket } from "node:net";
-import { createInterface } from "node:readline";
+import { readCrlfLines } from "../common/crlf_lines.ts";
 import type { Group, Member, Write } from "./group.ts";
 
 type State = "I" | "T" | "E";
@@ -29,10 +29,7 @@
     this.#name = name;
     this.#socket = socket;
     socket.on("error", () => {});
-    const lines = createInterface({ input: socket });
-    // A caller that is gone says nothing more.
-    lines.on("error", () => {});
-    lines.on("line", (line) => this.#take(line));
+    readCrlfLines(socket, (line) => this.#take(line));
   }
 
   #take(line: string): void {
--- a/test/platform/lines_test.ts
+++ b/test/platform/lines_test.ts
@@ -14,7 +14,7 @@
 } from "../../platform/lines.ts";
 
 const line = fc.string({ unit: "binary-ascii", maxLength: 60 })
-  .map((text) => text.replace(/[\r\n]/g, "_"));
+  .map((text) => text.replaceAll("\r\n", "__"));
 
 describe("lines", () => {
   describe("splitting", () => {
@@ -43,14 +43,22 @@
     });
 
     it("preserves every byte", () => {
-      const bytes = Buffer.from(
-        [...Array(256).keys()].filter((byte) => byte !== 10 && byte !== 13),
-      );
+      const bytes = Buffer.from([...Array(256).keys()]);
       const lines = new LineSplitter()
         .push(Buffer.concat([bytes, Buffer.from("\r\n")]));
       expect(Buffer.from(lines[0]!, LINE_ENCODING).equals(bytes)).toEqual(true);
     });
 
+    // Guards against a text with a line feed that is taken for two messages.
+    it("does not end a line at a line feed or carriage return on its own", () => {
+      const text = "QUERY q2 WRITE a b\nQUERY x9 WRITE c d\re";
+      const data = Buffer.from(`${text}\r\n\nnext\r\r\n`, LINE_ENCODING);
+      expect(new LineSplitter().push(data)).toEqual([text, "\nnext\r"]);
+      const splitter = new LineSplitter();
+      const parts = [...data].map((byte) => splitter.push(Buffer.from([byte])));
+      expect(parts.flat()).toEqual([text, "\nnext\r"]);
+    });
+
     it("rejects a line that is too long, complete or not", () => {
       const long = Buffer.alloc(LINE_MAX_BYTES + 1, 0x61);
       expect(new LineSplitter().push(long)).toEqual("too long");
--- a/test/platform/sessions_test.ts
+++ b/test/platform/sessions_test.ts
@@ -109,6 +109,37 @@
     }));
   });
 
+  // Guards against a part of a caller's text that runs as a statement of its own.
+  describe("a text with a line feed", () => {
+    const text = "front\nQUERY x9 WRITE wheel-9 sold\rend";
+
+    it("reaches the instance and comes back as it is", async () => {
+      const caller = await deployment.open(0, "booking");
+      await caller.run(`SET note ${text}`);
+      await caller.run("PREPARE s1 WRITE two\nlines");
+      await caller.run(`WRITE noted ${text}`);
+      await caller.run(`EXECUTE s1 executed ${text}`);
+      for (const item of ["noted", "executed"]) {
+        const { rows } = await caller.run(`READ ${item}`);
+        expect(rows).toEqual([`${text} note=${text}`]);
+      }
+      caller.close();
+    });
+
+    it("runs no other statement", async () => {
+      const caller = await deployment.open(0, "booking");
+      await caller.run(`WRITE noted ${text}`);
+      await caller.run("BEGIN");
+      await caller.run(`WRITE noted ${text}`);
+      await caller.run("COMMIT");
+      expect((await caller.run("READ wheel-9")).rows).toEqual(["-"]);
+      const logs = (await deployment.members()).flatMap(({ log }) => log);
+      const ids = logs.flatMap(({ writes }) => writes.map(({ id }) => id));
+      expect(ids.includes("x9")).toEqual(false);
+      caller.close();
+    });
+  });
+
   describe("invalid input", () => {
     it("is refused with a specific error and affects only its own connection", async () => {
       const good = await deployment.open(0, "booking");
