Keep a session's value while an earlier statement may still run

What callers saw: a write got UNKNOWN while its host was cut off from the primary, SET of a newer value was acknowledged 0.9 s later, and when the cut healed the write ran with the old value.

Cause: SET waits for earlier statements of its session, but a statement counted as over as soon as its connection was closed here. That says nothing about bytes that are held up or a statement that waits for a slot. The close was an orderly one besides, which delivers what was written before. Statements and commits of transactions were not waited for at all.

SET waits for that up to the route's target latency, and is refused as not run (415) at once when it takes longer, so the caller can go on with a new connection.

--- a/src/kernel/result_codes.ts
+++ b/src/kernel/result_codes.ts
@@ -93,6 +93,13 @@
   REQUEST_ID_INVALID: code(412, "request-id-invalid", "22023", "not run", 1),
   CALLER_LIMIT: code(413, "caller-limit", "53300", "not run", 1),
   STATEMENT_UNKNOWN: code(414, "statement-unknown", "26000", "not run", 1),
+  EARLIER_STATEMENT_RUNNING: code(
+    415,
+    "earlier-statement-running",
+    "55006",
+    "not run",
+    1,
+  ),
   PRIMARY_ABSENT: code(501, "primary-absent", "MS501", "not run", 1),
   PRIMARY_UNCONFIRMED: code(502, "primary-unconfirmed", "MS502", "not run", 1),
   OUTCOME_UNKNOWN: code(503, "outcome-unknown", "08007", "outcome unknown", 1),
--- a/src/plugins/sessions/caller_session.ts
+++ b/src/plugins/sessions/caller_session.ts
@@ -175,9 +175,7 @@
     }
     switch (statement.kind) {
       case "set":
-        await this.#session.waitForRunning();
-        this.#session.values.set(statement.name, statement.value);
-        return this.#channel.complete(this.#state);
+        return await this.#set(request, statement);
       case "prepare":
         this.#session.prepared.set(statement.name, statement.shape);
         return this.#channel.complete(this.#state);
@@ -191,6 +189,24 @@
     }
   }
 
+  /** Changes a value once no earlier statement of the session can run any more, since it would run with the former value. */
+  async #set(
+    request: CallerRequest,
+    { name, value }: CallerStatement & { kind: "set" },
+  ): Promise<void> {
+    const task = this.#createTask(request);
+    if (!task) return this.#refuseUnknownDatabase(request);
+    if (!await this.#session.waitForRunning(task.usefulUntil)) {
+      const failure = createFailure(
+        ResultCodes.EARLIER_STATEMENT_RUNNING,
+        "an earlier statement of this session may still run; connect again",
+      );
+      return this.#refuse(request, failure);
+    }
+    this.#session.values.set(name, value);
+    this.#channel.complete(this.#state);
+  }
+
   #begin(request: CallerRequest, readOnly: boolean): void {
     if (this.#transaction) return this.#refuseInvalid(request, "already open");
     const task = this.#createTask(request);
--- a/src/plugins/sessions/link_run.ts
+++ b/src/plugins/sessions/link_run.ts
@@ -18,7 +18,7 @@
   return context.pools.acquire(instance, route.priority, deadline, usefulUntil);
 }
 
-/** Runs a statement with its session's state applied. An unanswered statement counts as running until its late answer arrives or the connection is closed. */
+/** Runs a statement with its session's state applied. */
 export async function runOnLink(
   { id, context, route, session, deadline }: Task,
   link: UpstreamLink,
@@ -28,9 +28,7 @@
   context.succession.onRequest(route.group, link.instance);
   prepareLink(link, session, shape, deadline);
   const running = link.run({ id, operation, after }, deadline);
-  session.track(running.then(async (result) => {
-    if (result.isErr()) await result.error.over;
-  }));
+  session.track(running);
   const result = await running;
   if (result.isErr()) context.succession.onFailure(route.group, link.instance);
   return result;
--- a/src/plugins/sessions/session_context.ts
+++ b/src/plugins/sessions/session_context.ts
@@ -11,7 +11,13 @@
 import type { PrimarySamples } from "../freshness/primary_samples.ts";
 import type { Succession } from "../leadership/succession.ts";
 import type { ReadPlacement } from "../placement/read_placement.ts";
-import type { LinkOperation, PreparedStatement } from "../upstream/link.ts";
+import { sleep } from "../../utils/sleep.ts";
+import type {
+  Answer,
+  LinkOperation,
+  LinkResult,
+  PreparedStatement,
+} from "../upstream/link.ts";
 import { laterPosition, type Position } from "../upstream/position.ts";
 import type { RequestLog } from "./request_log.ts";
 
@@ -33,18 +39,40 @@
   readonly values = new Map<string, string>();
   readonly prepared = new Map<string, PreparedStatement>();
   #position: Position | undefined;
-  /** Statements that were sent and may still be running. */
+  /** Statements that were sent and neither answered nor given up. */
   readonly #running = new Set<Promise<void>>();
+  /** Monotonic ms until which a statement that was given up may still run. */
+  #mayRunUntil = -Infinity;
 
-  /** Tracks a statement that may be running until the promise resolves. */
-  track(completion: Promise<void>): void {
+  /** Tracks a statement that was sent. */
+  track(sent: LinkResult<Answer>): void {
+    const completion = this.#awaitEnd(sent);
     this.#running.add(completion);
     void completion.then(() => this.#running.delete(completion));
   }
 
-  /** Resolves when no statement of the session can be running, so that a change of its values does not affect statements sent earlier. */
-  async waitForRunning(): Promise<void> {
-    await Promise.all(this.#running);
+  /**
+   * Resolves to true when no statement that was sent earlier can run any more, so that a changed
+   * value can't differ from the one that it runs with; to false when that can't be told by the
+   * deadline, in monotonic ms, and at once if it is known before.
+   */
+  async waitForRunning(deadline: number): Promise<boolean> {
+    if (this.#running.size > 0) {
+      const remaining = deadline - performance.now();
+      await Promise.race([Promise.all(this.#running), sleep(remaining)]);
+    }
+    const now = performance.now();
+    if (this.#running.size > 0 || this.#mayRunUntil > deadline) return false;
+    if (this.#mayRunUntil > now) await sleep(this.#mayRunUntil - now);
+    return true;
+  }
+
+  async #awaitEnd(sent: LinkResult<Answer>): Promise<void> {
+    const result = await sent;
+    if (result.isOk()) return;
+    const mayRunUntil = await result.error.over;
+    if (mayRunUntil === undefined) return;
+    this.#mayRunUntil = Math.max(this.#mayRunUntil, mayRunUntil);
   }
 
   /** Latest position of the session's own writes; reads of the session must observe it. */
--- a/src/plugins/sessions/transaction.ts
+++ b/src/plugins/sessions/transaction.ts
@@ -207,10 +207,12 @@
     this.#statements += 1;
     context.succession.onRequest(route.group, this.instance);
     prepareLink(this.#link, task.session, statement.shape, deadline);
-    const result = await this.#link.run(
+    const running = this.#link.run(
       { id: task.id, operation: statement.operation },
       deadline,
     );
+    task.session.track(running);
+    const result = await running;
     if (result.isErr()) return this.#connectionLost(task, result.error.reason);
     const answer = result.value;
     this.#recordAnswer(task, answer);
@@ -240,10 +242,12 @@
   async commit(task: Task, text: string): Promise<Outcome> {
     const commitDeadline = Math.max(task.deadline, performance.now()) +
       COMMIT_GRACE_MS;
-    const result = await this.#link.run(
+    const running = this.#link.run(
       { id: task.id, operation: { kind: "text", text } },
       commitDeadline,
     );
+    task.session.track(running);
+    const result = await running;
     if (result.isErr()) {
       const { reason } = result.error;
       if (!this.#wrote) return this.#connectionLost(task, reason);
--- a/src/plugins/upstream/link.ts
+++ b/src/plugins/upstream/link.ts
@@ -51,8 +51,11 @@
    * by itself when the late response arrives, and its borrower must not release it.
    */
   readonly silent: boolean;
-  /** Resolves when the statement can no longer run: its late response has arrived, or the connection is closed. */
-  readonly over?: Promise<void>;
+  /**
+   * Resolves, when the late response has arrived or the connection is closed, to the monotonic
+   * time in ms until which the statement may still run. Without it, it can no longer run.
+   */
+  readonly over?: Promise<number>;
 }
 
 /** Operation to run: the caller's statement text, or a statement prepared on the link. */
--- a/test/platform/faults_test.ts
+++ b/test/platform/faults_test.ts
@@ -79,6 +79,22 @@
       });
     }
 
+    // Guards against a statement that runs with an old value after a newer one was acknowledged.
+    it("that is silent makes a session with an unanswered write refuse a new value", async () => {
+      deployment = await Deployment.start();
+      const caller = await deployment.open(0, "booking");
+      await caller.run("SET tenant t1");
+      await caller.run("WRITE held x");
+      await deployment.order("darken", PRIMARY);
+      expect((await caller.run("WRITE held y")).error).toEqual("UNKNOWN");
+      const changed = await caller.run("SET tenant t2");
+      expect([changed.error, changed.state]).toEqual(["BUSY", "I"]);
+      const other = await deployment.open(0, "booking");
+      expect((await other.run("SET tenant t2")).error).toEqual(undefined);
+      other.close();
+      caller.close();
+    });
+
     it("that leaves hands over with nothing refused and nothing lost", async () => {
       deployment = await Deployment.start();
       const callers = await Promise.all(
