--- a/test/platform/table_follower_test.ts
+++ b/test/platform/table_follower_test.ts
@@ -40,6 +40,10 @@
           for (const { key, value } of all) read(key, value);
         },
         change: ({ key, value }) => read(key, value),
+        fingerprint: ({ key, value }) => {
+          if (failing.keys.includes(key)) throw new Error(`bad ${key}`);
+          return String(value);
+        },
         confirmed: () => {
           if (failing.confirmations-- > 0) throw new Error("not now");
         },
