Read the entries of the host list one by one

The report of an odd entry on the PostgreSQL face: one invalid entry (a port out of range, a number too large, a nested field) made the whole list invalid, so a proxy followed it no longer: hosts that left or came were not seen while the entry stood there.

Now each entry is checked for itself, also its port; skipped ones are logged once (318) and the others are used, by the proxies and by `marjoramshed status`.

--- a/src/commands/status_command.ts
+++ b/src/commands/status_command.ts
@@ -122,6 +122,7 @@
   const agent = new Agent();
   const signal = AbortSignal.timeout(HOST_LIST_TIMEOUT_MS);
   const request = readHosts(url, agent, signal)
+    .then(({ hosts }) => hosts)
     .finally(() => agent.destroy());
   return ResultAsync.fromPromise(request, (error) =>
     createFailure(
--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -54,6 +54,7 @@
   PEER_REMOVED: event(315, "peer-removed", "info"),
   RELAY_CHANGED: event(316, "relay-changed", "info"),
   RELAY_FAILED: event(317, "relay-failed", "info"),
+  HOST_ENTRY_SKIPPED: event(318, "host-entry-skipped", "warn"),
   PLATFORM_RECOVERED: event(320, "platform-recovered", "info"),
   CALLER_CONNECTED: event(401, "caller-connected", "debug"),
   CALLER_DISCONNECTED: event(402, "caller-disconnected", "debug"),
--- a/src/utils/endpoint.ts
+++ b/src/utils/endpoint.ts
@@ -11,7 +11,9 @@
 }
 
 const ENDPOINT_PATTERN = /^[^\s:]+:\d{1,5}$/;
-const MAX_PORT = 65_535;
+
+/** Highest port of TCP. */
+export const MAX_PORT = 65_535;
 
 /** Whether a text is `host:port` with a port that can be connected to. */
 export function isEndpoint(text: string): boolean {
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -206,6 +206,34 @@
     expect(await shown()).toEqual([host]);
   });
 
+  // Guards against one odd entry that ends the following of the whole list.
+  it("is followed further beside entries that are not valid, which are not used", async () => {
+    const nested = `${"[".repeat(20_000)}${"]".repeat(20_000)}`;
+    const fields = JSON.stringify(host).slice(0, -1);
+    const odd = [
+      nested,
+      "null",
+      `${fields},"zone":7}`,
+      `${fields},"name":${nested}}`,
+      `${fields},"kind":"core"}`,
+      `${fields},"endpoint":"127.0.0.1:70000"}`,
+      `${fields},"endpoint":"127.0.0.1:0"}`,
+      `${fields},"endpoint":1e999}`,
+    ];
+    const valid = JSON.stringify({ ...host, state: "leaving" });
+    const server = createServer((_request, response) => {
+      response.end(`{"hosts":[${[...odd, valid].join(",")}]}`);
+    });
+    await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+    const { port } = server.address() as AddressInfo;
+    const odds = new HttpHostList({ url: `http://127.0.0.1:${port}`, log });
+    await odds.start();
+    expect(odds.hosts()).toEqual([{ ...host, state: "leaving" }]);
+    expect(odds.isLeaving("stock-1")).toEqual(true);
+    await odds.stop();
+    server.close();
+  });
+
   it("is read from the configured local address", async () => {
     const addresses: (string | undefined)[] = [];
     const server = createServer((request, response) => {
