Discard samples of the primary's position after a suspension

What callers saw: after their host had been suspended beside late replicas, bounded and read-your-writes reads ran on replicas that lacked commits which they had to show, for 1.5 to 2.5 s.

Cause: samples of the primary's position are dated by the monotonic clock, which stands still during a suspension, so a sample from before it looked fresh afterwards. The lease has a check for that, the samples had none. Now they are discarded when the clocks went apart since they were last looked at, and an answer to a question from before is no sample.

Why it works: the check stands in each look-up, so no read takes its position from a sample that is older than the clock says.

--- a/test/platform/freshness_test.ts
+++ b/test/platform/freshness_test.ts
@@ -15,7 +15,47 @@
   return samples;
 }
 
+/** Runs work as after a suspension of the host: the wall clock went on, the monotonic clock did not. */
+function runAfterSuspension(work: () => void): void {
+  const realNow = Date.now;
+  Date.now = () => realNow() + 4_000;
+  try {
+    work();
+  } finally {
+    Date.now = realNow;
+  }
+}
+
 describe("PrimarySamples", () => {
+  // Guards against reads that are too old after the host was suspended.
+  describe("after the host was suspended", () => {
+    it("discard what was sampled before, however fresh it seems", () => {
+      for (
+        const read of [
+          (samples: PrimarySamples) => samples.covering(0),
+          (samples: PrimarySamples) => samples.required(0, undefined),
+          (samples: PrimarySamples) => samples.latest,
+          (samples: PrimarySamples) => samples.passedAt({ term: 1, lsn: 0n }),
+        ]
+      ) {
+        const samples = samplesOf(sampleAt(performance.now(), 5));
+        expect(read(samples) !== undefined).toEqual(true);
+        runAfterSuspension(() => expect(read(samples)).toEqual(undefined));
+      }
+    });
+
+    it("ignore an answer to a question from before, and take a later one", () => {
+      const samples = new PrimarySamples();
+      const askedAt = performance.now();
+      runAfterSuspension(() => {
+        samples.add(sampleAt(askedAt, 5));
+        expect(samples.covering(0)).toEqual(undefined);
+        samples.add(sampleAt(performance.now(), 9));
+        expect(samples.covering(0)).toEqual({ term: 1, lsn: 9n });
+      });
+    });
+  });
+
   it("returns the lowest position that covers a time", () => {
     const samples = samplesOf(
       sampleAt(100, 5),
