Derive no age of an instance from before a suspension of the host

Ages are unknown now until instances have answered anew, and the primary must be confirmed again before a write is sent.

--- a/src/plugins/health/apply_lag.ts
+++ b/src/plugins/health/apply_lag.ts
@@ -34,9 +34,9 @@
     this.#newestApplied = newest;
   }
 
-  /** Upper bound, in ms, of the age of the instance's data; Infinity when unknown. */
-  age(now: number): number {
-    return this.#newestApplied ? now - this.#newestApplied.at : Infinity;
+  /** Monotonic ms of the newest sample that the instance has applied; -Infinity when unknown. */
+  get observedAt(): number {
+    return this.#newestApplied?.at ?? -Infinity;
   }
 
   /** Expected time in ms until the instance applies a position that it has not applied yet; Infinity when unknown. */
--- a/src/plugins/health/group_watch.ts
+++ b/src/plugins/health/group_watch.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { ok, type Result, type ResultAsync } from "neverthrow";
+import { ClockGapDetector } from "../../kernel/clock_gap_detector.ts";
 import { type EventLog, Events } from "../../kernel/events.ts";
 import {
   createFailure,
@@ -64,6 +65,10 @@
   readonly #probes: ProbeSet;
   readonly #waiters = new Waiters();
   readonly #rounds: ProbeRounds;
+  readonly #clockGap = new ClockGapDetector();
+  #gapCount = 0;
+  /** Ages are not derived from observations before this time (monotonic ms). */
+  #validFrom = -Infinity;
   #confirmAfter = -Infinity;
   #majorityPosition: Position = ZERO_POSITION;
   #lastSummary = "";
@@ -160,11 +165,12 @@
 
   /** Upper bound, in ms, of the age of an instance's data; Infinity when unknown. */
   age(instance: string): number {
+    this.#checkSuspension();
     const now = performance.now();
-    if (this.confirmed?.instance.name === instance) {
-      return now - this.confirmed.confirmedAt;
-    }
-    return this.staleness.age(instance, now);
+    const observedAt = this.confirmed?.instance.name === instance
+      ? this.confirmed.confirmedAt
+      : this.staleness.observedAt(instance);
+    return observedAt < this.#validFrom ? Infinity : now - observedAt;
   }
 
   /** Expected time in ms until an instance has applied a position; 0 if it already has. */
@@ -205,6 +211,16 @@
     this.#probes.close();
   }
 
+  /** Invalidates what was observed before a suspension of the host: the monotonic clock stood still, so it is older than it seems. */
+  #checkSuspension(): void {
+    const gaps = this.#clockGap.count();
+    if (gaps === this.#gapCount) return;
+    this.#gapCount = gaps;
+    this.#validFrom = performance.now();
+    this.#confirmAfter = this.#validFrom;
+    this.#rounds.request();
+  }
+
   #handleSettled(probe: InstanceProbe): void {
     const confirmed = confirmPrimary(this.probes, 0);
     this.#majorityPosition = majorityPosition(this.probes);
@@ -284,6 +300,7 @@
   }
 
   #writablePrimary(): Result<Instance, Failure> | undefined {
+    this.#checkSuspension();
     const primary = this.confirmed;
     if (!primary || this.hold.active) return undefined;
     const oldest = performance.now() - CONFIRMATION_VALID_MS;
--- a/src/plugins/health/staleness.ts
+++ b/src/plugins/health/staleness.ts
@@ -34,9 +34,9 @@
     this.#lags.delete(instance);
   }
 
-  /** Upper bound, in ms, of the age of an instance's data; Infinity when unknown. */
-  age(instance: string, now: number): number {
-    return this.#lags.get(instance)?.age(now) ?? Infinity;
+  /** Monotonic ms of the newest sample that an instance has applied; -Infinity when unknown. Its data is no older than that. */
+  observedAt(instance: string): number {
+    return this.#lags.get(instance)?.observedAt ?? -Infinity;
   }
 
   /** Expected time in ms until an instance applies a position that it has not applied yet; Infinity when unknown. */
--- a/test/health_test.ts
+++ b/test/health_test.ts
@@ -10,6 +10,7 @@
   createStatus,
   FakeDatabaseGroup,
 } from "./fixtures/fake_database_group.ts";
+import { eventually } from "./support/eventually.ts";
 import {
   createGroup,
   createTestLog,
@@ -194,6 +195,32 @@
   });
 
   describe("age", () => {
+    // Guards against reads that are too old after the host was suspended.
+    it("is unknown after a suspension of the host until instances have answered anew", async () => {
+      await eventually(() =>
+        health.age(DATABASE, "a") < Infinity &&
+        health.age(DATABASE, "b") < Infinity
+      );
+      control.statuses.clear();
+      const realNow = Date.now;
+      // The wall clock goes on during a suspension, the monotonic clock does not.
+      Date.now = () => realNow() + 4_000;
+      try {
+        expect(health.age(DATABASE, "a")).toEqual(Infinity);
+        expect(health.age(DATABASE, "b")).toEqual(Infinity);
+        const primary = await health.primary(DATABASE, shortDeadline());
+        expect(primary.isErr()).toEqual(true);
+        control.statuses.set("a", createStatus({ role: "primary" }));
+        control.statuses.set("b", createStatus({ source: "a" }));
+        await eventually(() =>
+          health.age(DATABASE, "a") < Infinity &&
+          health.age(DATABASE, "b") < Infinity
+        );
+      } finally {
+        Date.now = realNow;
+      }
+    });
+
     it("grows for a replica that does not apply the log", async () => {
       await health.primary(DATABASE, longDeadline());
       await sleep(SHORT_WAIT_MS);
