--- a/test/platform/restart_test.ts
+++ b/test/platform/restart_test.ts
@@ -74,9 +74,11 @@
     expect(await host!.ended()).toEqual(0);
   });
 
-  // Guards against statements that are cut off when sessions stay in use until the stop's deadline.
-  it("answers every statement of sessions that stay in use", async () => {
-    deployment = await Deployment.start();
+  /** Sends signals to a host whose sessions stay in use, and expects an answer to each of their statements. */
+  async function expectAllAnswered(
+    signals: readonly NodeJS.Signals[],
+    gap: number,
+  ): Promise<void> {
     const [host] = deployment.hosts;
     const callers = await Promise.all(
       Array.from({ length: 16 }, () => deployment.open(0, "booking")),
@@ -93,11 +95,25 @@
         await sleep(5);
       }
     });
-    await sleep(300);
-    host!.signal("SIGTERM");
+    for (const signal of signals) {
+      await sleep(gap);
+      host!.signal(signal);
+    }
     expect(await host!.ended()).toEqual(0);
     await Promise.all(load);
     expect({ cut, refused }).toEqual({ cut: [], refused: [] });
+  }
+
+  // Guards against statements that are cut off when sessions stay in use until the stop's deadline.
+  it("answers every statement of sessions that stay in use", async () => {
+    deployment = await Deployment.start();
+    await expectAllAnswered(["SIGTERM"], 300);
+  });
+
+  // Guards against a process that ends in the middle of its drain at a second signal.
+  it("answers every statement when signals to stop and to reload overlap", async () => {
+    deployment = await Deployment.start();
+    await expectAllAnswered(["SIGTERM", "SIGHUP", "SIGTERM", "SIGTERM"], 400);
   });
 
   it("ends in time while the store is away", async () => {
