Give no connection to a statement whose deadline has passed

What callers saw: after a pause of the process or a suspension of the host, statements that had waited for a connection beyond their deadline were still sent, with 1 ms left, and reported as unknown; the silence counted as a failure of the instance.

Cause: a waiter left the queue only by its timer. Timers stand still while the host is suspended, and after a pause a released connection may come before them.

Change: the queue compares deadlines with the clock before it names the next waiter, and the pool refuses a request whose deadline has passed.

--- a/src/plugins/connections/instance_pool.ts
+++ b/src/plugins/connections/instance_pool.ts
@@ -147,6 +147,9 @@
   /** Acquires a connection, from the idle ones or through the queue. */
   acquire(request: ConnectionRequest): ResultAsync<Member, Failure> {
     if (this.#closeFailure) return errAsync(this.#closeFailure);
+    if (request.deadline <= clock.now()) {
+      return errAsync(this.admission.deadlineFailure());
+    }
     const idle = this.#hasCapacity ? this.#idle.pop() : undefined;
     if (idle) {
       this.#checkOut(idle);
@@ -248,7 +251,7 @@
   }
 
   #serveWaiters(): void {
-    while (this.#queue.size > 0 && this.#hasCapacity) {
+    while (this.#hasCapacity && this.#queue.hasWaiter()) {
       const connection = this.#idle.pop();
       if (!connection) return;
       this.#checkOut(connection);
--- a/src/plugins/connections/transaction_limit.ts
+++ b/src/plugins/connections/transaction_limit.ts
@@ -58,10 +58,8 @@
   }
 
   #grantSlots(): void {
-    while (this.#inUse < this.#slots) {
-      const waiter = this.#queue.shift();
-      if (!waiter) return;
-      waiter(this.#takeSlot());
+    while (this.#inUse < this.#slots && this.#queue.hasWaiter()) {
+      this.#queue.shift()!(this.#takeSlot());
     }
   }
 }
--- a/src/plugins/connections/waiting_queue.ts
+++ b/src/plugins/connections/waiting_queue.ts
@@ -12,10 +12,21 @@
 /** Settles a waiter, with what it waits for or with a failure. */
 export type Settle<T> = (outcome: T) => void;
 
+interface Waiter<T> {
+  /** Monotonic ms of its arrival. */
+  readonly since: number;
+  /** Monotonic ms. */
+  readonly deadline: number;
+  /** Creates the outcome at the deadline. */
+  readonly expired: () => T;
+}
+
 /** Queue of waiters; the owner enforces the size limit, evicting waiters of lower priority. */
 export class WaitingQueue<T> {
-  /** Waiters by priority in order of arrival, with the arrival time in monotonic ms. */
-  readonly #byPriority: Readonly<Record<Priority, Map<Settle<T>, number>>> = {
+  /** Waiters by priority in order of arrival. */
+  readonly #byPriority: Readonly<
+    Record<Priority, Map<Settle<T>, Waiter<T>>>
+  > = {
     high: new Map(),
     normal: new Map(),
     low: new Map(),
@@ -45,7 +56,7 @@
 
   /** Time, in ms, for which the first waiter of this priority has waited; 0 if there is none. */
   headWaitTime(priority: Priority): number {
-    for (const since of this.#byPriority[priority].values()) {
+    for (const { since } of this.#byPriority[priority].values()) {
       return clock.now() - since;
     }
     return 0;
@@ -58,6 +69,7 @@
     expired: () => T,
   ): Promise<T> {
     const waiters = this.#byPriority[priority];
+    const since = clock.now();
     return new Promise((resolve) => {
       const settle = (outcome: T) => {
         clearTimeout(timer);
@@ -65,11 +77,25 @@
       };
       const timer = setTimeout(() => {
         if (waiters.delete(settle)) resolve(expired());
-      }, deadline - clock.now());
-      waiters.set(settle, clock.now());
+      }, deadline - since);
+      waiters.set(settle, { since, deadline, expired });
     });
   }
 
+  /** Whether anyone waits whose deadline has not passed. Others on the way expire now: timers are late after a pause of the process or a suspension of the host. */
+  hasWaiter(): boolean {
+    const now = clock.now();
+    for (const priority of PRIORITY_ORDER) {
+      const waiters = this.#byPriority[priority];
+      for (const [settle, { deadline, expired }] of waiters) {
+        if (now < deadline) return true;
+        waiters.delete(settle);
+        settle(expired());
+      }
+    }
+    return false;
+  }
+
   /** Removes and returns the next waiter. */
   shift(): Settle<T> | undefined {
     for (const priority of PRIORITY_ORDER) {
--- a/test/platform/concurrency_limit_test.ts
+++ b/test/platform/concurrency_limit_test.ts
@@ -2,9 +2,11 @@
 import { okAsync } from "neverthrow";
 import { describe, it } from "node:test";
 import { clock } from "../../src/kernel/clock.ts";
+import { ResultCodes } from "../../src/kernel/result_codes.ts";
 import { ConcurrencyLimit } from "../../src/plugins/connections/concurrency_limit.ts";
 import { InstancePool } from "../../src/plugins/connections/instance_pool.ts";
 import type { PoolMember } from "../../src/plugins/connections/pool_member.ts";
+import { createSuspension } from "../support/suspension.ts";
 
 describe("ConcurrencyLimit", () => {
   it("starts at two and grows by one per success until the first rejection", () => {
@@ -79,6 +81,40 @@
   });
 });
 
+describe("a pool of an instance", () => {
+  // Guards against statements that are sent for callers that have given up during a suspension of the host.
+  it("gives no connection to a statement whose deadline has passed", async (test) => {
+    const suspend = createSuspension(test);
+    const pool = new InstancePool<PoolMember>({
+      target: { database: "ledger", instance: "a" },
+      queueLength: 10,
+      log: () => {},
+      open: () => okAsync(() => createMember()),
+      onFailure: () => {},
+    });
+    pool.setShare(1);
+    const acquire = (timeout: number) =>
+      pool.acquire({
+        database: "ledger",
+        instance: "a",
+        priority: "normal",
+        deadline: clock.now() + timeout,
+      });
+    const held = (await acquire(1_000))._unsafeUnwrap();
+    const queued = acquire(100);
+    const patient = acquire(10_000);
+    suspend(500);
+    pool.onReleased(held);
+    const late = await queued;
+    expect(late.isErr() && late.error.code).toEqual(ResultCodes.QUEUE_DEADLINE);
+    expect((await patient).isOk()).toEqual(true);
+    pool.onReleased(held);
+    const expired = await acquire(0);
+    expect(expired.isErr() && expired.error.code)
+      .toEqual(ResultCodes.QUEUE_DEADLINE);
+  });
+});
+
 let memberId = 0;
 
 function createMember(): PoolMember {
--- a/test/platform/connections_policy_test.ts
+++ b/test/platform/connections_policy_test.ts
@@ -4,6 +4,7 @@
 import { TransactionLimit } from "../../src/plugins/connections/transaction_limit.ts";
 import { PrimaryFailureDetector } from "../../src/plugins/leadership/primary_doubt.ts";
 import { err, ok } from "neverthrow";
+import { createSuspension } from "../support/suspension.ts";
 
 const soon = () => clock.now() + 50;
 
@@ -38,6 +39,20 @@
     expect(limit.inUse).toEqual(0);
   });
 
+  // Guards against work for callers that have given up during a suspension of the host.
+  it("grants no slot to a waiter whose deadline passed while the host was suspended", async (test) => {
+    const suspend = createSuspension(test);
+    const limit = new TransactionLimit(1);
+    const first = await limit.acquire("normal", soon());
+    const late = limit.acquire("high", clock.now() + 1_000);
+    const inTime = limit.acquire("normal", clock.now() + 10_000);
+    suspend(4_000);
+    first!();
+    expect(await late).toEqual(undefined);
+    expect(await inTime !== undefined).toEqual(true);
+    expect(limit.inUse).toEqual(1);
+  });
+
   it("always has at least one slot", async () => {
     const limit = new TransactionLimit(0);
     expect(await limit.acquire("low", soon()) !== undefined).toEqual(true);
