Let only one proxy propose in the tests of a proposer that freezes itself

The trace of then: the other proxy proposed first, which the product allows, and only a proposer freezes itself. The next test of the file had the same set-up.

Shown by holding the first proxy for 800 ms at the kill (scratch copy): both tests fail with that message, 0 of 2 pass; with this change and the same delay both pass.

Change: the second proxy's process is stopped until the first has frozen itself; then it goes on and has to carry out the failover, as before.

--- a/test/failover_test.ts
+++ b/test/failover_test.ts
@@ -130,15 +130,24 @@
     expect(returned.flat().length).toBeGreaterThan(0);
   });
 
-  it("rejects the promotion of a proposer that was frozen after fencing", async () => {
+  /** Kills the primary and has one proxy propose, which freezes itself between fencing and promoting, beside a second one. */
+  const freezeProposer = async () => {
     const frozen = await cluster.startProxy("p1", {
       freezeBeforePromote: true,
     });
     const second = await cluster.startProxy("p2");
     await frozen.primary();
     await second.primary();
+    // Either may propose first, and only a proposer freezes.
+    second.process.suspend();
     await cluster.process(primary).kill();
     await eventually(() => isStopped(frozen), "the proposer froze itself");
+    second.process.resume();
+    return { frozen, second };
+  };
+
+  it("rejects the promotion of a proposer that was frozen after fencing", async () => {
+    const { frozen, second } = await freezeProposer();
     const name = await expectNewPrimary(second, primary);
     const before = await term(name);
     frozen.process.resume();
@@ -152,14 +161,7 @@
   });
 
   it("completes the failover of a proposer that died after fencing", async () => {
-    const frozen = await cluster.startProxy("p1", {
-      freezeBeforePromote: true,
-    });
-    const second = await cluster.startProxy("p2");
-    await frozen.primary();
-    await second.primary();
-    await cluster.process(primary).kill();
-    await eventually(() => isStopped(frozen), "the proposer froze itself");
+    const { frozen, second } = await freezeProposer();
     await frozen.process.kill();
     await expectNewPrimary(second, primary);
   });
