Soak: suspend hosts in series, and check the age of reads

Readers compare what they get with what was acknowledged longer ago than the route allows.

Seed 3206 is kept in soak_test. Without the option the faults of a seed are the same as before.

--- a/test/platform/soak_test.ts
+++ b/test/platform/soak_test.ts
@@ -14,4 +14,13 @@
     const report = await runSoak({ seed: 2805, seconds: 14, hosts: 3 });
     expect(report.violations).toEqual([]);
   });
+
+  // Before ages were measured by a clock that counts suspensions, a host read too old data with this seed.
+  it("breaks no promise while hosts are suspended in series", async () => {
+    const report = await runSoak({
+      ...{ seed: 3206, seconds: 16, hosts: 3 },
+      suspensions: true,
+    });
+    expect(report.violations).toEqual([]);
+  });
 });
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,6 +1,7 @@
 /**
- * `npm run soak -- --seed 1 --seconds 20 --runs 1 --hosts 3`: the soak by hand;
- * seeds follow one another, the exit code is 1 when anything was broken.
+ * `npm run soak -- --seed 1 --seconds 20 --runs 1 --hosts 3 --suspensions`: the
+ * soak by hand; seeds follow one another, the exit code is 1 when anything was
+ * broken.
  *
  * @module
  */
@@ -13,6 +14,7 @@
     seconds: { type: "string", default: "20" },
     runs: { type: "string", default: "1" },
     hosts: { type: "string", default: "3" },
+    suspensions: { type: "boolean", default: false },
   },
 });
 
@@ -21,6 +23,7 @@
     seed: Number(values.seed) + run,
     seconds: Number(values.seconds),
     hosts: Number(values.hosts),
+    suspensions: values.suspensions,
   });
   const { schedule, ...rest } = report;
   console.log(JSON.stringify(rest));
--- a/test/soak/platform_soak.ts
+++ b/test/soak/platform_soak.ts
@@ -31,9 +31,26 @@
   readonly seed: number;
   readonly seconds: number;
   readonly hosts: number;
+  /** Whether hosts are suspended and replicas receive nothing for a while, too. */
+  readonly suspensions?: boolean;
 }
 
 const WRITERS = 6;
+const READERS = 3;
+
+/** Largest age of a read on the route of the readers, in ms. */
+const MAX_AGE_MS = 1_500;
+
+/** Kinds of faults, without and with suspensions. */
+const LAST_KIND = 6;
+const LAST_KIND_WITH_SUSPENSIONS = 8;
+
+/** Number and lengths of the suspensions in a series, and the longest time between two of them, in ms. */
+const SUSPENSIONS_MIN = 20;
+const SUSPENSIONS_MAX = 80;
+const SUSPENSION_MIN_MS = 20;
+const SUSPENSION_MAX_MS = 90;
+const AWAKE_MAX_MS = 40;
 
 /** Time from a statement's run to its answer, in ms, so that most writers have one in progress. */
 const WORK_TIME_MS = 20;
@@ -64,11 +81,20 @@
 const sleep = (duration: number) =>
   new Promise((resolve) => setTimeout(resolve, duration));
 
+/** A write that was acknowledged. */
+interface Acknowledged {
+  readonly turn: number;
+  /** Time at which its caller had the answer, in ms. */
+  readonly at: number;
+  readonly term: string;
+}
+
 /** Runs once. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
   const deployment = await Deployment.start({
     hosts: options.hosts,
     workTime: WORK_TIME_MS,
+    standingClock: options.suspensions ?? false,
   });
   try {
     return await new Soak(deployment, options).run();
@@ -89,8 +115,12 @@
   readonly #restarting = new Set<string>();
   /** Names of the hosts that are being stopped as planned. */
   readonly #stopping = new Set<string>();
+  /** Names of the hosts that are being suspended; no other fault of a host begins meanwhile. */
+  readonly #suspended = new Set<string>();
   /** When the last unplanned fault of a host ended, in ms; Infinity while it lasts. */
   readonly #disturbedUntil = new Map<string, number>();
+  /** Acknowledged writes of each item, in order. */
+  readonly #history = new Map<string, Acknowledged[]>();
   /** Writes whose connection ended without an answer in a planned stop, and the host. */
   readonly #cut = new Map<string, string>();
   readonly #begun = performance.now();
@@ -105,9 +135,10 @@
   }
 
   async run(): Promise<SoakReport> {
-    const callers = [...Array(WRITERS).keys()].map((index) =>
-      this.#write(index)
-    );
+    const callers = [
+      ...[...Array(WRITERS).keys()].map((index) => this.#write(index)),
+      ...[...Array(READERS).keys()].map((index) => this.#read(index)),
+    ];
     while (this.#elapsed() < this.#options.seconds * 1_000) {
       await Promise.all([this.#fault(), this.#fault()]);
       await sleep(this.#draw(0, PAUSE_MAX_MS));
@@ -142,9 +173,16 @@
     ]!;
     const duration = this.#draw(300, FAULT_MAX_MS);
     const instance = `i-ledger-${this.#draw(0, 2)}`;
-    const kind = this.#draw(0, 6);
+    const kind = this.#draw(
+      0,
+      this.#options.suspensions ? LAST_KIND_WITH_SUSPENSIONS : LAST_KIND,
+    );
     const restarts = kind === 3 || kind === 4;
     if (restarts && this.#restarting.has(host.name)) return;
+    if (kind <= 4 && kind >= 2 && this.#suspended.has(host.name)) return;
+    const isDisturbed = this.#disturbedUntil.get(host.name) === Infinity ||
+      this.#restarting.has(host.name);
+    if ((kind === 7 || kind === 8) && isDisturbed) return;
     const note = (what: string) =>
       this.#schedule.push(
         `${Math.round(this.#elapsed())} ${what} for ${duration}`,
@@ -178,6 +216,24 @@
       case 4:
         note(`stop ${host.name}`);
         return await this.#restart(host, () => this.#stop(host));
+      case 7:
+        note(`suspend ${host.name}`);
+        return await this.#suspend(host, () => host.suspend(duration));
+      case 8: {
+        const count = this.#draw(SUSPENSIONS_MIN, SUSPENSIONS_MAX);
+        const order = this.#draw(0, 1) === 0 ? "undeafen" : "deafen";
+        note(`${order} instances, suspend ${host.name} ${count} times, not`);
+        await this.#orderAll(order);
+        await this.#suspend(host, async () => {
+          for (let done = 0; done < count; done += 1) {
+            await host.suspend(
+              this.#draw(SUSPENSION_MIN_MS, SUSPENSION_MAX_MS),
+            );
+            await sleep(this.#draw(0, AWAKE_MAX_MS));
+          }
+        });
+        return await this.#orderAll("undeafen");
+      }
       default: {
         const modes: readonly DoorMode[] = ["silent", "busy", "reset", "lost"];
         const mode = modes[this.#draw(0, modes.length - 1)]!;
@@ -207,6 +263,18 @@
     this.#disturbedUntil.set(host.name, performance.now());
   }
 
+  async #orderAll(action: string): Promise<void> {
+    for (const { id } of await this.#deployment.members()) {
+      await this.#deployment.order(action, id);
+    }
+  }
+
+  async #suspend(host: Host, work: () => Promise<void>): Promise<void> {
+    this.#suspended.add(host.name);
+    await this.#disturb(host, work);
+    this.#suspended.delete(host.name);
+  }
+
   /** Stops a host as planned, with further signals while it stops, and starts it again. */
   async #stop(host: Host): Promise<void> {
     this.#stopping.add(host.name);
@@ -257,7 +325,11 @@
         if (!answer.error) {
           this.#acknowledged += 1;
           last = turn;
+          const at = performance.now();
           lastTerm = await this.#term();
+          const history = this.#history.get(item) ?? [];
+          history.push({ turn, at, term: lastTerm });
+          this.#history.set(item, history);
         }
         const read = await caller.run(`READ ${item}`);
         if (!read.error) {
@@ -281,6 +353,48 @@
     caller?.close();
   }
 
+  /** A caller that reads what others write, on a route that allows a certain age, each time in a session of its own. */
+  async #read(index: number): Promise<void> {
+    for (let turn = 0; !this.#over; turn += 1) {
+      const item = `item${(index + turn) % WRITERS}`;
+      const host = turn % this.#options.hosts;
+      let caller: LineCaller | undefined;
+      try {
+        caller = await this.#deployment.open(host, "stock");
+        const sentAt = performance.now();
+        const { error, rows } = await caller.run(`READ ${item}`);
+        if (!error) await this.#checkAge(item, Number(rows[0]), sentAt, host);
+      } catch {
+        // The host or the connection is gone: the next turn takes another.
+      }
+      caller?.close();
+      await sleep(15);
+    }
+  }
+
+  /** Checks that a read shows what was acknowledged longer ago than its route allows. */
+  async #checkAge(
+    item: string,
+    seen: number,
+    sentAt: number,
+    host: number,
+  ): Promise<void> {
+    this.#reads += 1;
+    const owed = this.#history.get(item)?.findLast(({ at }) =>
+      at < sentAt - MAX_AGE_MS
+    );
+    // A read that shows no write at all is not a number.
+    if (!owed || seen >= owed.turn) return;
+    if (await this.#term() !== owed.term) return;
+    this.#violations.push(
+      `${item} at ${
+        Math.round(sentAt - this.#begun)
+      }: host-${host} read ${seen}, ${owed.turn} was acknowledged ${
+        Math.round(sentAt - owed.at)
+      } ms before`,
+    );
+  }
+
   /** The highest term of the group. */
   async #term(): Promise<string> {
     const members = await this.#deployment.members();
