Let a replaced proxy join although its host's time of day is behind

What callers saw: nothing yet, found by reading in the walk of what the time of day decides. A proxy that replaces a lost one of its name at another address, on a host whose time of day is behind, is no member to the others for up to 10 minutes: they count shares of connections without it.

Cause: the incarnation is the time of day of the start, and a proxy that is told of a later one at another endpoint always took it for another living process of its name and refuted nothing.

Change: if that process is gone, the proxy takes the next number. While it is alive or suspected, nothing changes, so two processes of one name don't outbid each other.

Tests: member_table_test, 2 of 3 failed on the code before (the third says what stays); member_table, membership and joining: 14 passed, 0 failed.

--- a/src/plugins/membership/member_table.ts
+++ b/src/plugins/membership/member_table.ts
@@ -140,12 +140,18 @@
     this.#others.set(member.state.name, member);
   }
 
-  /** Refutes an update about this proxy by a higher version. An update of a later incarnation at another endpoint is ignored: it belongs to another process with the same name. */
+  /**
+   * Refutes an update about this proxy by a higher version. An update of a later
+   * incarnation at another endpoint belongs to another process with the same name
+   * and is ignored while that one is not gone. Once it is gone, this proxy has
+   * replaced it on a host whose time of day is behind.
+   */
   #refute(update: Member): MemberChange {
     const own = this.#ownState;
     if (!supersedes(update, this.ownMember)) return "none";
     const later = update.state.incarnation > own.incarnation;
-    if (later && update.state.endpoint !== own.endpoint) return "none";
+    const isElsewhere = update.state.endpoint !== own.endpoint;
+    if (later && isElsewhere && update.liveness !== "gone") return "none";
     this.#setOwnState({
       ...own,
       incarnation: later ? update.state.incarnation + 1 : own.incarnation,
