Probe no faster during a hold of writes; share the set-up of two tests

Since a hold ends by the clock, a hold in progress made every confirmation seem outdated, so the group was probed every 25 ms for up to 4 s in place of every 200 ms. While a hold is active nothing is sent to the primary anyway, so it does not count there.

--- a/src/plugins/health/group_watch.ts
+++ b/src/plugins/health/group_watch.ts
@@ -233,6 +233,7 @@
 
   /** Monotonic ms; an earlier confirmation doesn't count. After a hold the primary must be confirmed again, since the hold may have been for its replacement. */
   get #confirmationNeededFrom(): number {
+    if (this.hold.active) return this.#confirmAfter;
     return Math.max(this.#confirmAfter, this.hold.until);
   }
 
--- a/test/health_test.ts
+++ b/test/health_test.ts
@@ -52,6 +52,18 @@
   const shortDeadline = () => clock.now() + SHORT_WAIT_MS;
   const longDeadline = () => clock.now() + LONG_WAIT_MS;
 
+  /** Instance b is the primary of the next term, and a is fenced. */
+  const replacePrimary = () => {
+    const history = {
+      seenTerm: 2,
+      lastTerm: 2,
+      termStarts: [{ term: 1, lsn: 0n }, { term: 2, lsn: 100n }],
+    };
+    control.statuses.set("a", createStatus({ role: "fenced", seenTerm: 2 }));
+    control.statuses.set("b", createStatus({ ...history, role: "primary" }));
+    control.statuses.set("c", createStatus({ ...history, source: "b" }));
+  };
+
   const confirm = (lsn: bigint, deadline: number) =>
     health.confirm(DATABASE, { term: 1, lsn }, deadline);
 
@@ -272,14 +284,7 @@
     it("is not the replaced one after a hold, though it was confirmed just before", async () => {
       (await health.primary(DATABASE, longDeadline()))._unsafeUnwrap();
       health.hold(DATABASE, LONG_WAIT_MS);
-      const history = {
-        seenTerm: 2,
-        lastTerm: 2,
-        termStarts: [{ term: 1, lsn: 0n }, { term: 2, lsn: 100n }],
-      };
-      control.statuses.set("a", createStatus({ role: "fenced", seenTerm: 2 }));
-      control.statuses.set("b", createStatus({ ...history, role: "primary" }));
-      control.statuses.set("c", createStatus({ ...history, source: "b" }));
+      replacePrimary();
       health.release(DATABASE);
       const found = await health.primary(DATABASE, longDeadline());
       expect(found._unsafeUnwrap().name).toEqual("b");
@@ -290,14 +295,7 @@
       (await health.primary(DATABASE, longDeadline()))._unsafeUnwrap();
       const holdMs = 100;
       health.hold(DATABASE, holdMs);
-      const history = {
-        seenTerm: 2,
-        lastTerm: 2,
-        termStarts: [{ term: 1, lsn: 0n }, { term: 2, lsn: 100n }],
-      };
-      control.statuses.set("a", createStatus({ role: "fenced", seenTerm: 2 }));
-      control.statuses.set("b", createStatus({ ...history, role: "primary" }));
-      control.statuses.set("c", createStatus({ ...history, source: "b" }));
+      replacePrimary();
       suspend(holdMs);
       const found = await health.primary(DATABASE, longDeadline());
       expect(found._unsafeUnwrap().name).toEqual("b");
--- a/test/platform/concurrency_limit_test.ts
+++ b/test/platform/concurrency_limit_test.ts
@@ -60,13 +60,7 @@
 
 describe("a pool without a concurrency limit", () => {
   it("provides as many connections at once as its share", async () => {
-    const pool = new InstancePool<PoolMember>({
-      target: { database: "ledger", instance: "a" },
-      queueLength: 10,
-      log: () => {},
-      open: () => okAsync(() => createMember()),
-      onFailure: () => {},
-    });
+    const pool = createPool();
     pool.setShare(5);
     const deadline = clock.now() + 1_000;
     const results = await Promise.all([1, 2, 3, 4, 5].map(() =>
@@ -85,13 +79,7 @@
   // Guards against statements that are sent for callers that have given up during a suspension of the host.
   it("gives no connection to a statement whose deadline has passed", async (test) => {
     const suspend = createSuspension(test);
-    const pool = new InstancePool<PoolMember>({
-      target: { database: "ledger", instance: "a" },
-      queueLength: 10,
-      log: () => {},
-      open: () => okAsync(() => createMember()),
-      onFailure: () => {},
-    });
+    const pool = createPool();
     pool.setShare(1);
     const acquire = (timeout: number) =>
       pool.acquire({
@@ -115,6 +103,16 @@
   });
 });
 
+function createPool(): InstancePool<PoolMember> {
+  return new InstancePool<PoolMember>({
+    target: { database: "ledger", instance: "a" },
+    queueLength: 10,
+    log: () => {},
+    open: () => okAsync(() => createMember()),
+    onFailure: () => {},
+  });
+}
+
 let memberId = 0;
 
 function createMember(): PoolMember {
