Log each statement that is prepared on a connection

Event 415 has the request's id, the connection, the name on it and the shape, both cut to 80 characters, as JSON, so that each byte is visible. At most 50 such lines a second, beside the budget of the other request lines; what is left out is counted.

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -71,6 +71,7 @@
   CALLER_PROTOCOL_ERROR: event(412, "caller-protocol-error", "warn"),
   REQUEST_LATE: event(413, "request-late", "info"),
   SESSIONS_DRAINED: event(414, "sessions-drained", "info"),
+  STATEMENT_PREPARED: event(415, "statement-prepared", "info"),
   PRIMARY_SUSPECTED: event(501, "primary-suspected", "warn"),
   PRIMARY_FOUND: event(502, "primary-found", "info"),
   FENCED: event(503, "fenced", "info"),
--- a/src/plugins/sessions/link_preparation.ts
+++ b/src/plugins/sessions/link_preparation.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import type { PreparedStatement, UpstreamLink } from "../upstream/link.ts";
-import type { SessionState } from "./session_context.ts";
+import type { Task } from "./session_context.ts";
 
 /** Name of a prepared statement on upstream connections. It is built from the effect and the shape because the names chosen by different callers collide. */
 export function preparedName({ effect, shape }: PreparedStatement): string {
@@ -16,10 +16,10 @@
 /** Sets exactly the session's values on the connection and prepares the statement to run. */
 export function prepareLink(
   link: UpstreamLink,
-  session: SessionState,
-  shape: PreparedStatement | undefined,
-  deadline: number,
+  task: Task,
+  shape?: PreparedStatement,
 ): void {
+  const { context, deadline, session } = task;
   const hasForeignValues = [...link.values.keys()]
     .some((name) => !session.values.has(name));
   if (hasForeignValues) void link.reset(deadline);
@@ -30,5 +30,6 @@
   if (!shape) return;
   const name = preparedName(shape);
   if (link.prepared.has(name)) return;
+  context.requests.prepared(task, link, name, shape);
   void link.prepare(name, shape, deadline);
 }
--- a/src/plugins/sessions/link_run.ts
+++ b/src/plugins/sessions/link_run.ts
@@ -20,13 +20,14 @@
 
 /** Runs a statement with its session's state applied. */
 export async function runOnLink(
-  { id, context, route, session, deadline }: Task,
+  task: Task,
   link: UpstreamLink,
   { operation, shape }: StatementOperation,
   after?: Position,
 ): LinkResult<Answer> {
+  const { id, context, route, session, deadline } = task;
   context.succession.onRequest(route.group, link.instance);
-  prepareLink(link, session, shape, deadline);
+  prepareLink(link, task, shape);
   const running = link.run({ id, operation, after }, deadline);
   session.track(running);
   const result = await running;
--- a/src/plugins/sessions/request_log.ts
+++ b/src/plugins/sessions/request_log.ts
@@ -12,6 +12,7 @@
   Events,
 } from "../../kernel/events.ts";
 import type { Failure } from "../../kernel/result_codes.ts";
+import type { PreparedStatement } from "../upstream/link.ts";
 import type { RequestMetrics } from "./request_metrics.ts";
 
 /** One in this many requests that were served in time is logged. */
@@ -23,13 +24,41 @@
 /** Limit for lines about late, refused or retried requests. */
 const MAX_LINES_PER_SECOND = 200;
 
+/** Limit for lines about prepared statements; they have one of their own because new connections need many at once. */
+const MAX_PREPARED_LINES_PER_SECOND = 50;
+
+/** Characters of a statement's shape that are logged; the usual ones are far shorter. */
+const MAX_LOGGED_SHAPE_LENGTH = 80;
+
+/** Counts lines against a limit per second. */
+class LineBudget {
+  readonly #limit: number;
+  #second = 0;
+  #lines = 0;
+
+  constructor(limit: number) {
+    this.#limit = limit;
+  }
+
+  /** Takes a line from the budget of the current second; false when it is used up. */
+  take(): boolean {
+    const second = Math.floor(clock.now() / 1_000);
+    if (second !== this.#second) {
+      this.#second = second;
+      this.#lines = 0;
+    }
+    this.#lines += 1;
+    return this.#lines <= this.#limit;
+  }
+}
+
 /** Logs requests and updates their metrics. */
 export class RequestLog {
   readonly #log: EventLog;
   readonly #metrics: RequestMetrics;
+  readonly #budget = new LineBudget(MAX_LINES_PER_SECOND);
+  readonly #preparedBudget = new LineBudget(MAX_PREPARED_LINES_PER_SECOND);
   #servedInTime = 0;
-  #currentSecond = 0;
-  #linesThisSecond = 0;
 
   constructor(log: EventLog, metrics: RequestMetrics) {
     this.#log = log;
@@ -99,20 +128,30 @@
     });
   }
 
+  /** Records that a statement is prepared on a connection, under a name by which the instance knows it. */
+  prepared(
+    request: { readonly id: string },
+    link: { readonly id: number; readonly instance: string },
+    name: string,
+    { effect, shape }: PreparedStatement,
+  ): void {
+    if (!this.#preparedBudget.take()) return this.#metrics.lineOmitted();
+    this.#log.write(Events.STATEMENT_PREPARED, {
+      request: request.id,
+      instance: link.instance,
+      connection: link.id,
+      name: name.slice(0, MAX_LOGGED_SHAPE_LENGTH),
+      effect,
+      shape: shape.slice(0, MAX_LOGGED_SHAPE_LENGTH),
+      length: shape.length,
+    });
+  }
+
   #writeRateLimited(
     kind: (typeof Events)[keyof typeof Events],
     fields: EventFields,
   ) {
-    const second = Math.floor(clock.now() / 1_000);
-    if (second !== this.#currentSecond) {
-      this.#currentSecond = second;
-      this.#linesThisSecond = 0;
-    }
-    this.#linesThisSecond += 1;
-    if (this.#linesThisSecond > MAX_LINES_PER_SECOND) {
-      this.#metrics.lineOmitted();
-      return;
-    }
+    if (!this.#budget.take()) return this.#metrics.lineOmitted();
     this.#log.write(kind, fields);
   }
 }
--- a/src/plugins/sessions/transaction.ts
+++ b/src/plugins/sessions/transaction.ts
@@ -151,7 +151,7 @@
       Failure
     >
   > {
-    const { context, route, deadline, session } = task;
+    const { context, route, deadline } = task;
     const { placement, pools } = context;
     const { priority } = route;
     const leave = await pools.acquireTransactionSlot(
@@ -173,7 +173,7 @@
       return err(acquired.error);
     }
     const link = acquired.value;
-    prepareLink(link, session, undefined, deadline);
+    prepareLink(link, task);
     const result = await link.begin({ readOnly, after }, deadline);
     if (result.isErr()) {
       leave();
@@ -207,7 +207,7 @@
     const { context, route, deadline } = task;
     this.#statements += 1;
     context.succession.onRequest(route.group, this.instance);
-    prepareLink(this.#link, task.session, statement.shape, deadline);
+    prepareLink(this.#link, task, statement.shape);
     const running = this.#link.run(
       { id: task.id, operation: statement.operation },
       deadline,
