--- a/standins/line_group/connection.ts
+++ b/standins/line_group/connection.ts
@@ -9,6 +9,12 @@
 
 type State = "I" | "T" | "E";
 
+/** A prepared statement; a shape is the last field of its line, so it may contain spaces. */
+interface Prepared {
+  readonly effect: string;
+  readonly shape: string;
+}
+
 /** Answers the statements of one connection. */
 export class Connection {
   readonly #group: Group;
@@ -17,7 +23,7 @@
   readonly #workTime: number;
   readonly #socket: Socket;
   readonly #values = new Map<string, string>();
-  readonly #prepared = new Map<string, readonly [string, string]>();
+  readonly #prepared = new Map<string, Prepared>();
   #started = false;
   #state: State = "I";
   #plain = false;
@@ -100,7 +106,9 @@
         this.#prepared.clear();
         return [];
       case "PREPARE":
-        this.#prepared.set(first, [rest[0]!, rest[1]!]);
+        return this.#prepare(first, rest);
+      case "DEALLOCATE":
+        this.#prepared.delete(first);
         return [];
       case "BEGIN":
         this.#plain = first !== "READ";
@@ -122,14 +130,26 @@
     return this.#fail("MALFORMED");
   }
 
+  #prepare(
+    name: string,
+    [effect, ...shape]: readonly string[],
+  ): readonly [string?] {
+    if (effect !== "READ" && effect !== "WRITE") return ["MALFORMED"];
+    if (shape.length === 0) return ["MALFORMED"];
+    this.#prepared.set(name, { effect, shape: shape.join(" ") });
+    return [];
+  }
+
   #execute(
     id: string,
     name: string,
-    [item = "", ...data]: readonly string[],
+    given: readonly string[],
   ): readonly [string?, string?] {
     const prepared = this.#prepared.get(name);
     if (!prepared) return this.#fail("NOSTMT");
-    if (prepared[0] === "READ") return this.#read(item);
+    const [item = "", ...data] = given;
+    this.#member.recordExecution({ id, ...prepared, given: given.join(" ") });
+    if (prepared.effect === "READ") return this.#read(item);
     return this.#write({ id, item, data: data.join(" ") });
   }
 
--- a/standins/line_group/group.ts
+++ b/standins/line_group/group.ts
@@ -19,6 +19,17 @@
   readonly data: string;
 }
 
+/** A prepared statement that was executed, with all that followed its name. */
+export interface Execution {
+  readonly id: string;
+  readonly effect: string;
+  readonly shape: string;
+  readonly given: string;
+}
+
+/** Number of executions that an instance tells of. */
+const EXECUTIONS_KEPT = 200;
+
 /** How an instance can be reached. */
 export type Reach = "up" | "dead" | "dark";
 
@@ -29,6 +40,8 @@
   term = 1;
   /** What it has received. */
   log: Entry[] = [];
+  /** The latest executions. */
+  readonly executed: Execution[] = [];
   /** Entries of the log that its data show. */
   applied = 0;
   pausedAt = 0;
@@ -41,6 +54,12 @@
     this.id = id;
   }
 
+  /** Records an execution and forgets the oldest beyond a limit. */
+  recordExecution(execution: Execution): void {
+    this.executed.push(execution);
+    if (this.executed.length > EXECUTIONS_KEPT) this.executed.shift();
+  }
+
   /** The value of an item in the data. */
   read(item: string): string {
     for (let index = this.applied - 1; index >= 0; index -= 1) {
