Name prepared statements upstream by numbers, not by their shapes

Cause: the name of a prepared statement at an instance was the effect and the shape, joined. A shape is the last field of PREPARE and extends to the end of the line, so it may contain spaces; as a name it became several fields. The class: a name built from somebody's text.

Now a connection numbers its statements and never uses a number twice. The name holds nothing of the text; which statement it stands for is looked up by effect and shape, and the effect has no space, so no two statements share a key. An operation carries the statement itself, and the connection that runs it gives the name, so name and connection can't come apart.

--- a/src/plugins/sessions/caller_session.ts
+++ b/src/plugins/sessions/caller_session.ts
@@ -12,19 +12,17 @@
   ResultCodes,
 } from "../../kernel/result_codes.ts";
 import type { Route } from "../deployment/routes.ts";
-import type { TransactionState } from "../upstream/link.ts";
+import type { LinkOperation, TransactionState } from "../upstream/link.ts";
 import type {
   CallerChannel,
   CallerRequest,
   CallerStatement,
 } from "./caller.ts";
-import { preparedName } from "./link_preparation.ts";
 import { type Outcome, outcomeUnknown, transactionLost } from "./outcome.ts";
 import { runRead } from "./read_run.ts";
 import {
   type SessionContext,
   SessionState,
-  type StatementOperation,
   type Task,
 } from "./session_context.ts";
 import {
@@ -244,7 +242,7 @@
 
   async #runInTransaction(
     task: Task,
-    operation: StatementOperation,
+    operation: LinkOperation,
     effect: "read" | "write",
   ): Promise<void> {
     const opened = await this.#transaction!;
@@ -297,24 +295,21 @@
   ):
     | {
       readonly effect: "read" | "write";
-      readonly operation: StatementOperation;
+      readonly operation: LinkOperation;
     }
     | undefined {
     if (statement.kind !== "execute") {
       const operation = { kind: "text", text: statement.text } as const;
-      return { effect: statement.kind, operation: { operation } };
+      return { effect: statement.kind, operation };
     }
-    const shape = this.#session.prepared.get(statement.name);
-    if (!shape) return undefined;
+    const prepared = this.#session.prepared.get(statement.name);
+    if (!prepared) return undefined;
     return {
-      effect: shape.effect,
+      effect: prepared.effect,
       operation: {
-        shape,
-        operation: {
-          kind: "execute",
-          name: preparedName(shape),
-          arguments: statement.arguments,
-        },
+        kind: "execute",
+        statement: prepared,
+        arguments: statement.arguments,
       },
     };
   }
--- a/src/plugins/sessions/link_preparation.ts
+++ b/src/plugins/sessions/link_preparation.ts
@@ -5,19 +5,14 @@
  *
  * @module
  */
-import type { PreparedStatement, UpstreamLink } from "../upstream/link.ts";
+import type { LinkOperation, UpstreamLink } from "../upstream/link.ts";
 import type { Task } from "./session_context.ts";
 
-/** Name of a prepared statement on upstream connections. It is built from the effect and the shape because the names chosen by different callers collide. */
-export function preparedName({ effect, shape }: PreparedStatement): string {
-  return `${effect}_${shape}`;
-}
-
 /** Sets exactly the session's values on the connection and prepares the statement to run. */
 export function prepareLink(
   link: UpstreamLink,
   task: Task,
-  shape?: PreparedStatement,
+  operation?: LinkOperation,
 ): void {
   const { context, deadline, session } = task;
   const hasForeignValues = [...link.values.keys()]
@@ -27,9 +22,9 @@
     if (link.values.get(name) === value) continue;
     void link.setValue(name, value, deadline);
   }
-  if (!shape) return;
-  const name = preparedName(shape);
-  if (link.prepared.has(name)) return;
-  context.requests.prepared(task, link, name, shape);
-  void link.prepare(name, shape, deadline);
+  if (operation?.kind !== "execute") return;
+  const { statement } = operation;
+  if (link.preparedName(statement) !== undefined) return;
+  void link.prepare(statement, deadline);
+  context.requests.prepared(task, link, statement);
 }
--- a/src/plugins/sessions/link_run.ts
+++ b/src/plugins/sessions/link_run.ts
@@ -5,10 +5,15 @@
  */
 import type { ResultAsync } from "neverthrow";
 import type { Failure } from "../../kernel/result_codes.ts";
-import type { Answer, LinkResult, UpstreamLink } from "../upstream/link.ts";
+import type {
+  Answer,
+  LinkOperation,
+  LinkResult,
+  UpstreamLink,
+} from "../upstream/link.ts";
 import type { Position } from "../upstream/position.ts";
 import { prepareLink } from "./link_preparation.ts";
-import type { StatementOperation, Task } from "./session_context.ts";
+import type { Task } from "./session_context.ts";
 
 /** Acquires a connection to an instance from the pool. */
 export function acquireLink(
@@ -22,12 +27,12 @@
 export async function runOnLink(
   task: Task,
   link: UpstreamLink,
-  { operation, shape }: StatementOperation,
+  operation: LinkOperation,
   after?: Position,
 ): LinkResult<Answer> {
   const { id, context, route, session, deadline } = task;
   context.succession.onRequest(route.group, link.instance);
-  prepareLink(link, task, shape);
+  prepareLink(link, task, operation);
   const running = link.run({ id, operation, after }, deadline);
   session.track(running);
   const result = await running;
--- a/src/plugins/sessions/primary_run.ts
+++ b/src/plugins/sessions/primary_run.ts
@@ -8,12 +8,12 @@
 import type { Failure } from "../../kernel/result_codes.ts";
 import { sleep } from "../../utils/sleep.ts";
 import type { Leader } from "../leadership/group_leadership.ts";
-import type { Answer, LinkLoss } from "../upstream/link.ts";
+import type { Answer, LinkLoss, LinkOperation } from "../upstream/link.ts";
 import { formatPosition } from "../upstream/position.ts";
 import { acquireLink, runOnLink } from "./link_run.ts";
 import { isOverload, noPrimary, type Outcome, refused } from "./outcome.ts";
 import { confirmAnswer, recordLeaderAnswer } from "./primary_confirmation.ts";
-import type { StatementOperation, Task } from "./session_context.ts";
+import type { Task } from "./session_context.ts";
 
 /** Delay before a statement is retried. */
 const RETRY_DELAY_MS = 25;
@@ -44,7 +44,7 @@
 export async function runAtPrimary(
   task: Task,
   effect: "read" | "write",
-  statement: StatementOperation,
+  statement: LinkOperation,
   evaluate: AttemptEvaluator,
 ): Promise<Outcome> {
   const { context, route, deadline } = task;
@@ -78,7 +78,7 @@
 async function attemptOnce(
   task: Task,
   leader: Leader,
-  statement: StatementOperation,
+  statement: LinkOperation,
 ): Promise<PrimaryAttempt> {
   const acquired = await acquireLink(task, leader.instance);
   if (acquired.isErr()) return { kind: "not sent", failure: acquired.error };
--- a/src/plugins/sessions/read_run.ts
+++ b/src/plugins/sessions/read_run.ts
@@ -8,7 +8,7 @@
 import { clock } from "../../kernel/clock.ts";
 import type { Failure } from "../../kernel/result_codes.ts";
 import { sleep } from "../../utils/sleep.ts";
-import type { Answer } from "../upstream/link.ts";
+import type { Answer, LinkOperation } from "../upstream/link.ts";
 import { formatPosition, type Position } from "../upstream/position.ts";
 import { acquireLink, runOnLink } from "./link_run.ts";
 import {
@@ -24,7 +24,7 @@
   recordLeaderAnswer,
   refreshSample,
 } from "./primary_confirmation.ts";
-import type { StatementOperation, Task } from "./session_context.ts";
+import type { Task } from "./session_context.ts";
 
 /** Fraction of a route's maximum age after which a sample is refreshed in the background. */
 const REFRESH_AGE_FRACTION = 0.6;
@@ -47,7 +47,7 @@
 /** Runs a read until an instance has answered it or its deadline is reached. */
 export async function runRead(
   task: Task,
-  read: StatementOperation,
+  read: LinkOperation,
 ): Promise<Outcome> {
   if (task.route.consistency !== "primary") {
     return await runAtAnyInstance(task, read);
@@ -88,7 +88,7 @@
 
 async function runAtAnyInstance(
   task: Task,
-  read: StatementOperation,
+  read: LinkOperation,
 ): Promise<Outcome> {
   const { route, deadline } = task;
   const excluded = new Set<string>();
@@ -147,7 +147,7 @@
 
 async function attemptRead(
   task: Task,
-  read: StatementOperation,
+  read: LinkOperation,
   instance: string,
   position: Position,
   /** Whether the read has already ended through another attempt. */
--- a/src/plugins/sessions/request_log.ts
+++ b/src/plugins/sessions/request_log.ts
@@ -12,7 +12,7 @@
   Events,
 } from "../../kernel/events.ts";
 import type { Failure } from "../../kernel/result_codes.ts";
-import type { PreparedStatement } from "../upstream/link.ts";
+import type { PreparedStatement, UpstreamLink } from "../upstream/link.ts";
 import type { RequestMetrics } from "./request_metrics.ts";
 
 /** One in this many requests that were served in time is logged. */
@@ -131,16 +131,16 @@
   /** Records that a statement is prepared on a connection, under a name by which the instance knows it. */
   prepared(
     request: { readonly id: string },
-    link: { readonly id: number; readonly instance: string },
-    name: string,
-    { effect, shape }: PreparedStatement,
+    link: Pick<UpstreamLink, "id" | "instance" | "preparedName">,
+    statement: PreparedStatement,
   ): void {
     if (!this.#preparedBudget.take()) return this.#metrics.lineOmitted();
+    const { effect, shape } = statement;
     this.#log.write(Events.STATEMENT_PREPARED, {
       request: request.id,
       instance: link.instance,
       connection: link.id,
-      name: name.slice(0, MAX_LOGGED_SHAPE_LENGTH),
+      name: link.preparedName(statement),
       effect,
       shape: shape.slice(0, MAX_LOGGED_SHAPE_LENGTH),
       length: shape.length,
--- a/src/plugins/sessions/session_context.ts
+++ b/src/plugins/sessions/session_context.ts
@@ -15,7 +15,6 @@
 import { sleep } from "../../utils/sleep.ts";
 import type {
   Answer,
-  LinkOperation,
   LinkResult,
   PreparedStatement,
 } from "../upstream/link.ts";
@@ -102,10 +101,3 @@
   /** Monotonic time in ms at which the route's target latency is reached; limits the wait for a connection. */
   readonly usefulUntil: number;
 }
-
-/** The operation that runs a statement. */
-export interface StatementOperation {
-  readonly operation: LinkOperation;
-  /** The prepared statement that is executed, if any. */
-  readonly shape?: PreparedStatement;
-}
--- a/src/plugins/sessions/transaction.ts
+++ b/src/plugins/sessions/transaction.ts
@@ -8,7 +8,7 @@
 import { type Failure, ResultCodes } from "../../kernel/result_codes.ts";
 import { sleep } from "../../utils/sleep.ts";
 import type { Leader } from "../leadership/group_leadership.ts";
-import type { Answer, UpstreamLink } from "../upstream/link.ts";
+import type { Answer, LinkOperation, UpstreamLink } from "../upstream/link.ts";
 import type { Position } from "../upstream/position.ts";
 import { prepareLink } from "./link_preparation.ts";
 import { acquireLink } from "./link_run.ts";
@@ -29,7 +29,7 @@
   recordLeaderAnswer,
 } from "./primary_confirmation.ts";
 import { requirePosition } from "./read_run.ts";
-import type { StatementOperation, Task } from "./session_context.ts";
+import type { Task } from "./session_context.ts";
 
 /** Delay before another attempt to open a transaction. */
 const RETRY_DELAY_MS = 25;
@@ -201,15 +201,15 @@
   /** Runs a statement within the transaction; a refused outcome ends the transaction. */
   async run(
     task: Task,
-    statement: StatementOperation,
+    operation: LinkOperation,
     effect: "read" | "write",
   ): Promise<Outcome> {
     const { context, route, deadline } = task;
     this.#statements += 1;
     context.succession.onRequest(route.group, this.instance);
-    prepareLink(this.#link, task, statement.shape);
+    prepareLink(this.#link, task, operation);
     const running = this.#link.run(
-      { id: task.id, operation: statement.operation },
+      { id: task.id, operation },
       deadline,
     );
     task.session.track(running);
--- a/src/plugins/sessions/write_run.ts
+++ b/src/plugins/sessions/write_run.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { LinkOperation } from "../upstream/link.ts";
 import type { Leader } from "../leadership/group_leadership.ts";
 import {
   answered,
@@ -13,12 +14,12 @@
   refused,
 } from "./outcome.ts";
 import { type PrimaryAttempt, runAtPrimary } from "./primary_run.ts";
-import type { StatementOperation, Task } from "./session_context.ts";
+import type { Task } from "./session_context.ts";
 
 /** Runs a write. The outcome is an answer, or a failure that says whether the write has not run or its outcome is unknown. */
 export function runWrite(
   task: Task,
-  write: StatementOperation,
+  write: LinkOperation,
 ): Promise<Outcome> {
   const evaluate = (attempt: PrimaryAttempt, { instance }: Leader) => {
     switch (attempt.kind) {
--- a/src/plugins/upstream/link.ts
+++ b/src/plugins/upstream/link.ts
@@ -63,7 +63,7 @@
   | { readonly kind: "text"; readonly text: string }
   | {
     readonly kind: "execute";
-    readonly name: string;
+    readonly statement: PreparedStatement;
     readonly arguments: string;
   };
 
@@ -103,8 +103,8 @@
   readonly instance: string;
   /** Session values that are set on the connection. */
   readonly values: ReadonlyMap<string, string>;
-  /** Names of the statements that are prepared on the connection. */
-  readonly prepared: ReadonlySet<string>;
+  /** Name by which the instance knows a statement that is prepared on the connection; undefined if it is not prepared. */
+  preparedName(statement: PreparedStatement): string | undefined;
   /** Runs a statement; an instance's fault is part of the answer, not a loss. */
   run(statement: LinkStatement, deadline: number): LinkResult<Answer>;
   /** Begins a transaction; the instance's data must include the position `after`. */
@@ -118,12 +118,8 @@
   setValue(name: string, value: string, deadline: number): LinkResult<Answer>;
   /** Discards all session values and prepared statements. */
   reset(deadline: number): LinkResult<Answer>;
-  /** Prepares a statement. */
-  prepare(
-    name: string,
-    shape: PreparedStatement,
-    deadline: number,
-  ): LinkResult<Answer>;
+  /** Prepares a statement that the connection lacks. */
+  prepare(statement: PreparedStatement, deadline: number): LinkResult<Answer>;
   /** Requests the role and log position; a fault is reported as a loss. */
   status(deadline: number): LinkResult<LinkStatus>;
   /** Tells a replica to stop receiving from primaries of terms below `term`. */
--- /dev/null
+++ b/test/platform/statement_names_test.ts
@@ -0,0 +1,40 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import type { PreparedStatement } from "../../src/plugins/upstream/link.ts";
+import { PreparedStatements } from "../../src/plugins/upstream/prepared_statements.ts";
+
+function read(shape: string): PreparedStatement {
+  return { effect: "read", shape };
+}
+
+describe("names of prepared statements on a connection", () => {
+  // Guards against an upstream statement name that contains a caller's shape (inc-34).
+  it("consist of letters and digits whatever the shape", () => {
+    const statements = new PreparedStatements();
+    for (const shape of ["q5 READ x", "q\r\n5", " ", "\0", "x".repeat(1_000)]) {
+      expect(/^[a-z]\d{1,15}$/.test(statements.add(read(shape)))).toEqual(true);
+    }
+  });
+
+  it("tell statements apart that join to the same text", () => {
+    const statements = new PreparedStatements();
+    const all: readonly PreparedStatement[] = [
+      read("q5"),
+      { effect: "write", shape: "q5" },
+      read("read q5"),
+      read("write q5"),
+      read("q5 "),
+    ];
+    const names = all.map((one) => statements.add(one));
+    expect(new Set(names).size).toEqual(all.length);
+    expect(all.map((one) => statements.name(one))).toEqual(names);
+  });
+
+  it("are not used again after the statements were discarded", () => {
+    const statements = new PreparedStatements();
+    const before = statements.add(read("q5"));
+    statements.clear();
+    expect(statements.name(read("q5"))).toEqual(undefined);
+    expect(statements.add(read("q5"))).not.toEqual(before);
+  });
+});
