Bound the statements that are prepared on one connection

Callers saw: nothing yet. Each shape that any caller prepares stayed on the shared connections that ran it until their end, in the proxy and at the instance, up to 1 MiB each; a caller that prepares ever new shapes fills the memory of both.

A connection keeps 500 statements and 2 MiB of shapes at most; beyond that the least recently used are deallocated at the instance, in the same flight as the PREPARE that needs the room, and are prepared again when they are needed.

statement_names_test, "are given up beyond a limit", can't be built before this commit; prepared_statements_test runs 600 statements of one caller, and the first of them again.

--- a/test/platform/prepared_statements_test.ts
+++ b/test/platform/prepared_statements_test.ts
@@ -86,6 +86,20 @@
     });
   }
 
+  it("runs again after more others than a connection keeps", async () => {
+    const caller = await deployment.open(0, "booking");
+    const count = 600;
+    for (let index = 0; index < count; index += 1) {
+      await caller.run(`PREPARE s${index} READ many ${index}`);
+    }
+    for (let index = 0; index < count + 5; index += 1) {
+      const number = index % count;
+      const ran = await execute(caller, `s${number}`, "1cb");
+      expect([ran.shape, ran.given]).toEqual([`many ${number}`, "1cb"]);
+    }
+    caller.close();
+  });
+
   it("is not replaced by that of another caller on the same connections", async () => {
     const shapes = ["q5", "q5 READ q6", "q5 WRITE q6", "read_q5 READ q7"];
     const callers = await Promise.all(
--- a/test/platform/statement_names_test.ts
+++ b/test/platform/statement_names_test.ts
@@ -3,6 +3,8 @@
 import type { PreparedStatement } from "../../src/plugins/upstream/link.ts";
 import { PreparedStatements } from "../../src/plugins/upstream/prepared_statements.ts";
 
+const MEBIBYTE = 1024 * 1024;
+
 function read(shape: string): PreparedStatement {
   return { effect: "read", shape };
 }
@@ -37,4 +39,32 @@
     expect(statements.name(read("q5"))).toEqual(undefined);
     expect(statements.add(read("q5"))).not.toEqual(before);
   });
+
+  // Guards against callers whose shapes fill the memory of a connection that others share.
+  describe("are given up beyond a limit", () => {
+    it("of statements, the least recently used first", () => {
+      const statements = new PreparedStatements();
+      const kept = statements.add(read("kept"));
+      const evicted: string[] = [];
+      for (let index = 0; index < 2_000; index += 1) {
+        statements.add(read(`q${index}`));
+        evicted.push(...statements.evict());
+        expect(statements.name(read("kept"))).toEqual(kept);
+      }
+      expect(evicted.includes(kept)).toEqual(false);
+      expect(evicted.length >= 1_000).toEqual(true);
+      expect(statements.name(read("q0"))).toEqual(undefined);
+      expect(statements.name(read("q1999"))).not.toEqual(undefined);
+    });
+
+    it("of length, but never the latest", () => {
+      const statements = new PreparedStatements();
+      const shapes = ["a", "b", "c"].map((one) => one.repeat(MEBIBYTE));
+      const names = shapes.map((shape) => statements.add(read(shape)));
+      expect(statements.evict()).toEqual([names[0]!]);
+      const long = statements.add(read("d".repeat(4 * MEBIBYTE)));
+      expect(statements.evict()).toEqual([names[1]!, names[2]!]);
+      expect(statements.name(read("d".repeat(4 * MEBIBYTE)))).toEqual(long);
+    });
+  });
 });
