--- a/standins/line_group/connection.ts
+++ b/standins/line_group/connection.ts
@@ -9,6 +9,9 @@
 
 type State = "I" | "T" | "E";
 
+/** Maximum length of a message, in bytes. */
+const MESSAGE_MAX_BYTES = 1024 * 1024;
+
 /** A prepared statement; a shape is the last field of its line, so it may contain spaces. */
 interface Prepared {
   readonly effect: string;
@@ -47,6 +50,7 @@
 
   #take(line: string): void {
     if (this.#member.reach === "dark") return;
+    if (line.length > MESSAGE_MAX_BYTES) return void this.#socket.destroy();
     const [word, id = "-", ...rest] = line.split(" ");
     if (word === "TERMINATE") return void this.#socket.end();
     if (!this.#started) return this.#startup(word!, id, rest[1]);
