Log no more than five prepared statements a second

Callers saw nothing. A sample of five a second shows what names stand for and leaves the log readable; what is left out is counted as before.

--- a/src/plugins/sessions/request_log.ts
+++ b/src/plugins/sessions/request_log.ts
@@ -24,8 +24,8 @@
 /** Limit for lines about late, refused or retried requests. */
 const MAX_LINES_PER_SECOND = 200;
 
-/** Limit for lines about prepared statements; they have one of their own because new connections need many at once. */
-const MAX_PREPARED_LINES_PER_SECOND = 50;
+/** Limit for lines about prepared statements: a sample, since each new connection prepares all statements anew. */
+const MAX_PREPARED_LINES_PER_SECOND = 5;
 
 /** Characters of a statement's shape that are logged; the usual ones are far shorter. */
 const MAX_LOGGED_SHAPE_LENGTH = 80;
