--- /dev/null
+++ b/test/platform/fields_test.ts
@@ -0,0 +1,108 @@
+/**
+ * Texts of callers, operators and instances stay within their field of a line.
+ *
+ * @module
+ */
+import { afterEach, describe, it } from "node:test";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { expect } from "earl";
+import { CallerConnection } from "../../platform/caller_connection.ts";
+import { LINE_ENCODING } from "../../platform/lines.ts";
+import type { ResultCode } from "../../src/kernel/result_codes.ts";
+import { noPrimary } from "../../src/plugins/sessions/outcome.ts";
+
+const ADDRESS = "127.0.0.1";
+
+describe("fields of lines", () => {
+  const cleanups: (() => void)[] = [];
+  afterEach(() => {
+    for (const clean of cleanups.splice(0)) clean();
+  });
+
+  /** Listens with a handler for each connection; returns the port. */
+  async function listen(handle: (socket: Socket) => void): Promise<number> {
+    const server = createServer({ allowHalfOpen: true }, handle);
+    await new Promise<void>((resolve) => server.listen(0, ADDRESS, resolve));
+    cleanups.push(() => server.close());
+    return (server.address() as AddressInfo).port;
+  }
+
+  /** Sends bytes to a connection that a handler serves and then closes; returns the answer. */
+  async function exchange(
+    input: Buffer,
+    serve: (connection: CallerConnection) => Promise<void> | void,
+  ): Promise<Buffer> {
+    const port = await listen((socket) => {
+      const connection = new CallerConnection(socket);
+      void Promise.resolve(serve(connection)).then(() => connection.close());
+    });
+    const socket = connect({ host: ADDRESS, port });
+    socket.end(input);
+    const chunks: Buffer[] = [];
+    for await (const chunk of socket) chunks.push(chunk as Buffer);
+    return Buffer.concat(chunks);
+  }
+
+  describe("names of databases", () => {
+    async function startUp(field: Buffer): Promise<[string?, Buffer?]> {
+      let database: string | undefined;
+      const input = [Buffer.from("STARTUP "), field, Buffer.from(" u1\r\n")];
+      const answer = await exchange(
+        Buffer.concat(input),
+        async (connection) => {
+          database = (await connection.readStartup(1_000))?.database;
+        },
+      );
+      return [database, answer];
+    }
+
+    // Guards against a configured name that no caller can reach.
+    it("are read as UTF-8", async () => {
+      for (const name of ["kotačić", "booking", "\uFEFFa", "床", "Ċč"]) {
+        const [database] = await startUp(Buffer.from(name, "utf8"));
+        expect(database).toEqual(name);
+      }
+    });
+
+    it("that are not UTF-8 are unknown", async () => {
+      const [database, answer] = await startUp(Buffer.from([0x61, 0xff]));
+      expect(database).toEqual(undefined);
+      expect(answer!.toString().startsWith("ERROR NODB ")).toEqual(true);
+    });
+  });
+
+  describe("messages of failures", () => {
+    async function refuse(code: ResultCode, message: string) {
+      return await exchange(
+        Buffer.alloc(0),
+        (connection) => connection.refuse({ code, message }, "idle"),
+      );
+    }
+
+    // Guards against a name that ends its line and begins a forged one.
+    it("stay within one line whatever names they contain", async () => {
+      for (
+        const name of [
+          "čĊREADY I -",
+          "a\r\nREADY I -",
+          "\u{1F60D}\u{1F60A}READY",
+          "\u0000\u0085\u2028",
+        ]
+      ) {
+        const { code, message } = noPrimary(name, 10);
+        const answer = await refuse(code, message);
+        const lines = answer.toString(LINE_ENCODING).split("\r\n");
+        expect(lines.length).toEqual(3);
+        expect(lines[0]!.startsWith("ERROR BUSY ")).toEqual(true);
+        expect(lines.slice(1)).toEqual(["READY I -", ""]);
+      }
+    });
+
+    it("are written as UTF-8", async () => {
+      const { code, message } = noPrimary("kotačić", 10);
+      const answer = await refuse(code, message);
+      expect(answer.toString("utf8"))
+        .toEqual(`ERROR BUSY ${message}\r\nREADY I -\r\n`);
+    });
+  });
+});
