--- a/test/platform/fields_test.ts
+++ b/test/platform/fields_test.ts
@@ -7,7 +7,8 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { expect } from "earl";
 import { CallerConnection } from "../../platform/caller_connection.ts";
-import { LINE_ENCODING } from "../../platform/lines.ts";
+import { parseConfiguration } from "../../platform/documents.ts";
+import { AnswerReader, LINE_ENCODING } from "../../platform/lines.ts";
 import type { ResultCode } from "../../src/kernel/result_codes.ts";
 import { noPrimary } from "../../src/plugins/sessions/outcome.ts";
 
@@ -105,4 +106,37 @@
         .toEqual(`ERROR BUSY ${message}\r\nREADY I -\r\n`);
     });
   });
+
+  // Guards against words that are found because every object has a property of that name.
+  describe("words that are names of object properties", () => {
+    const words = ["constructor", "toString", "__proto__", "valueOf"];
+
+    it("are no state of a transaction", () => {
+      for (const word of words) {
+        const reader = new AnswerReader(0);
+        reader.push("COMPLETE s");
+        expect(reader.push(`READY ${word} 3.1`)).toEqual("malformed");
+      }
+    });
+
+    it("are no known fault", () => {
+      for (const word of words) {
+        const reader = new AnswerReader(0);
+        reader.push(`ERROR ${word} i-1`);
+        const answer = reader.push("READY I 3.1");
+        expect(answer !== "malformed" && answer?.fault).toEqual("other");
+      }
+    });
+
+    it("are no kind of route", () => {
+      for (const word of words) {
+        const route = { host: "a", service: "b", kind: word, timeoutMs: 100 };
+        const content = { version: 1, routes: [route], services: [] };
+        const value = Buffer.from(JSON.stringify(content));
+        const row = { table: "op", key: "config", version: 1, value };
+        const table = parseConfiguration(row)._unsafeUnwrap();
+        expect(table.routes.size).toEqual(0);
+      }
+    });
+  });
 });
