Bound what a session holds in values and prepared statements

A caller could fill the memory of its host: each SET and PREPARE kept up to 1 MiB until the session ended, without a limit on their number. Even short ones kept 1 MiB each if their request id was long, since a part of a string keeps the whole string (here the line) in memory. When the host ends, all callers on it lose their sessions.

A session now holds at most 4 MiB of values and prepared statements, counted with their names and 256 for each. What is held is a copy of the part of the line.

--- a/src/kernel/result_codes.ts
+++ b/src/kernel/result_codes.ts
@@ -100,6 +100,7 @@
     "not run",
     1,
   ),
+  SESSION_TOO_LARGE: code(416, "session-too-large", "53400", "not run", 1),
   PRIMARY_ABSENT: code(501, "primary-absent", "MS501", "not run", 1),
   PRIMARY_UNCONFIRMED: code(502, "primary-unconfirmed", "MS502", "not run", 1),
   OUTCOME_UNKNOWN: code(503, "outcome-unknown", "08007", "outcome unknown", 1),
--- a/src/plugins/sessions/caller_session.ts
+++ b/src/plugins/sessions/caller_session.ts
@@ -18,7 +18,12 @@
   CallerRequest,
   CallerStatement,
 } from "./caller.ts";
-import { type Outcome, outcomeUnknown, transactionLost } from "./outcome.ts";
+import {
+  type Outcome,
+  outcomeUnknown,
+  sessionTooLarge,
+  transactionLost,
+} from "./outcome.ts";
 import { runRead } from "./read_run.ts";
 import {
   type SessionContext,
@@ -176,10 +181,12 @@
       case "set":
         return await this.#set(request, statement);
       case "prepare":
-        this.#session.prepared.set(statement.name, statement.shape);
+        if (!this.#session.prepare(statement.name, statement.shape)) {
+          return this.#refuse(request, sessionTooLarge());
+        }
         return this.#channel.complete(this.#state);
       case "deallocate":
-        this.#session.prepared.delete(statement.name);
+        this.#session.deallocate(statement.name);
         return this.#channel.complete(this.#state);
       case "begin":
         return this.#begin(request, statement.readOnly);
@@ -202,7 +209,9 @@
       );
       return this.#refuse(request, failure);
     }
-    this.#session.values.set(name, value);
+    if (!this.#session.setValue(name, value)) {
+      return this.#refuse(request, sessionTooLarge());
+    }
     this.#channel.complete(this.#state);
   }
 
--- a/src/plugins/sessions/outcome.ts
+++ b/src/plugins/sessions/outcome.ts
@@ -87,3 +87,11 @@
 export function transactionLost(detail: string): Failure {
   return createFailure(ResultCodes.TRANSACTION_LOST, detail);
 }
+
+/** Failure for a value or a prepared statement that a session can't hold in addition to its others. */
+export function sessionTooLarge(): Failure {
+  return createFailure(
+    ResultCodes.SESSION_TOO_LARGE,
+    "the values and prepared statements of this session are too large; deallocate some or connect again",
+  );
+}
--- a/src/plugins/sessions/session_context.ts
+++ b/src/plugins/sessions/session_context.ts
@@ -34,16 +34,62 @@
   readonly requests: RequestLog;
 }
 
+/** Maximum length of a session's values and prepared statements with their names, in characters; four messages of the longest kind. */
+const HELD_MAX_LENGTH = 4 * 1024 * 1024;
+
+/** Length that each value and prepared statement counts in addition to its text, in characters. */
+const ENTRY_OVERHEAD_LENGTH = 256;
+
 /** State of one session, applied to each connection that the session uses. */
 export class SessionState {
-  readonly values = new Map<string, string>();
-  readonly prepared = new Map<string, PreparedStatement>();
+  readonly #values = new Map<string, string>();
+  readonly #prepared = new Map<string, PreparedStatement>();
+  #heldLength = 0;
   #position: Position | undefined;
   /** Statements that were sent and neither answered nor given up. */
   readonly #running = new Set<Promise<void>>();
   /** Monotonic ms until which a statement that was given up may still run. */
   #mayRunUntil = -Infinity;
 
+  get values(): ReadonlyMap<string, string> {
+    return this.#values;
+  }
+
+  get prepared(): ReadonlyMap<string, PreparedStatement> {
+    return this.#prepared;
+  }
+
+  /** Sets a value; returns false if the session would hold too much. */
+  setValue(name: string, value: string): boolean {
+    const former = this.#values.get(name);
+    if (!this.#tryHold(name, value, former)) return false;
+    this.#values.set(copyText(name), copyText(value));
+    return true;
+  }
+
+  /** Adds or replaces a prepared statement; returns false if the session would hold too much. */
+  prepare(name: string, { effect, shape }: PreparedStatement): boolean {
+    const former = this.#prepared.get(name)?.shape;
+    if (!this.#tryHold(name, shape, former)) return false;
+    this.#prepared.set(copyText(name), { effect, shape: copyText(shape) });
+    return true;
+  }
+
+  /** Removes a prepared statement, if it exists. */
+  deallocate(name: string): void {
+    const former = this.#prepared.get(name)?.shape;
+    this.#heldLength -= entryLength(name, former);
+    this.#prepared.delete(name);
+  }
+
+  #tryHold(name: string, text: string, former: string | undefined): boolean {
+    const length = this.#heldLength - entryLength(name, former) +
+      entryLength(name, text);
+    if (length > HELD_MAX_LENGTH) return false;
+    this.#heldLength = length;
+    return true;
+  }
+
   /** Tracks a statement that was sent. */
   track(sent: LinkResult<Answer>): void {
     const completion = this.#awaitEnd(sent);
@@ -89,6 +135,16 @@
   }
 }
 
+function entryLength(name: string, text: string | undefined): number {
+  if (text === undefined) return 0;
+  return ENTRY_OVERHEAD_LENGTH + name.length + text.length;
+}
+
+/** Copies a part of a string, which otherwise keeps the whole string in memory. */
+function copyText(text: string): string {
+  return structuredClone(text);
+}
+
 /** A statement being processed, with its route and time limits. */
 export interface Task {
   readonly context: SessionContext;
