--- a/test/platform/fields_test.ts
+++ b/test/platform/fields_test.ts
@@ -5,10 +5,16 @@
  */
 import { afterEach, describe, it } from "node:test";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { Duplex } from "node:stream";
+import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
 import { CallerConnection } from "../../platform/caller_connection.ts";
 import { parseConfiguration } from "../../platform/documents.ts";
-import { AnswerReader, LINE_ENCODING } from "../../platform/lines.ts";
+import {
+  AnswerReader,
+  LINE_ENCODING,
+  LINE_MAX_BYTES,
+} from "../../platform/lines.ts";
 import type { ResultCode } from "../../src/kernel/result_codes.ts";
 import { noPrimary } from "../../src/plugins/sessions/outcome.ts";
 
@@ -139,4 +145,26 @@
       }
     });
   });
+
+  describe("a line that is too long", () => {
+    // Guards against a statement that is made of parts of two lines.
+    it("is the last one that is read", async () => {
+      const input = new Duplex({
+        read: () => {},
+        write: (_chunk, _encoding, done) => done(),
+      });
+      const connection = new CallerConnection(
+        Object.assign(input, { setNoDelay: () => {} }) as unknown as Socket,
+      );
+      input.push("QUERY q1 READ a\r\nQUERY q2 READ b\r\n");
+      expect((await connection.next())?.id).toEqual("q1");
+      input.push("QUERY q3 WRITE a " + "x".repeat(LINE_MAX_BYTES - 100));
+      input.push("x".repeat(200) + "\r\n");
+      await sleep(10);
+      expect((await connection.next())?.id).toEqual("q2");
+      input.push("y\r\nQUERY q4 READ a\r\n");
+      await sleep(10);
+      expect((await connection.next())?.id).toEqual(undefined);
+    });
+  });
 });
