--- a/test/platform/session_size_test.ts
+++ b/test/platform/session_size_test.ts
@@ -4,7 +4,12 @@
  * @module
  */
 import { afterEach, describe, it } from "node:test";
-import { type AddressInfo, createServer } from "node:net";
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { expect } from "earl";
@@ -12,6 +17,7 @@
 import type { Route } from "../../src/plugins/deployment/routes.ts";
 import { CallerSession } from "../../src/plugins/sessions/caller_session.ts";
 import type { SessionContext } from "../../src/plugins/sessions/session_context.ts";
+import { eventually } from "../support/eventually.ts";
 import { LineCaller } from "./fixtures/line_caller.ts";
 
 const MEBIBYTE = 1024 * 1024;
@@ -51,6 +57,10 @@
         await new CallerSession(context, connection, "booking").run();
       })();
     });
+    return await listenAndOpen(server);
+  }
+
+  async function listenAndOpen(server: Server): Promise<LineCaller> {
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", resolve)
     );
@@ -137,4 +147,29 @@
     const held = usedMemory() - before;
     expect(held).toBeLessThan(HELD_MAX_BYTES);
   });
+
+  // Guards against a caller that sends long statements ahead of a slow one.
+  it("includes few long lines that it was sent ahead", async () => {
+    const handled: Socket[] = [];
+    const server = createServer((socket) => {
+      handled.push(socket);
+      socket.on("error", () => {});
+      const connection = new CallerConnection(socket);
+      void (async () => {
+        await connection.readStartup(1_000);
+        connection.accept();
+      })();
+    });
+    const caller = await listenAndOpen(server);
+    const line = `QUERY q WRITE a ${long}\r\n`;
+    for (let index = 0; index < 40; index += 1) caller.send(line);
+    let before = 0;
+    await eventually(async () => {
+      await new Promise((resolve) => setTimeout(resolve, 150));
+      const isStill = before === handled[0]!.bytesRead;
+      before = handled[0]!.bytesRead;
+      return isStill;
+    }, "the session reads no further");
+    expect(before).toBeLessThan(HELD_MAX_BYTES);
+  });
 });
