--- a/test/platform/fields_test.ts
+++ b/test/platform/fields_test.ts
@@ -111,6 +111,16 @@
       expect(answer.toString("utf8"))
         .toEqual(`ERROR BUSY ${message}\r\nREADY I -\r\n`);
     });
+
+    // Guards against an answer longer than a message may be.
+    it("are cut when they repeat a long text", async () => {
+      const { code, message } = noPrimary("č".repeat(1_000_000), 10);
+      const answer = await refuse(code, message);
+      expect(answer.length).toBeLessThan(LINE_MAX_BYTES);
+      const [error, ready] = answer.toString("utf8").split("\r\n");
+      expect(error!.startsWith("ERROR BUSY ččč")).toEqual(true);
+      expect(ready).toEqual("READY I -");
+    });
   });
 
   // Guards against words that are found because every object has a property of that name.
