--- a/test/platform/fields_test.ts
+++ b/test/platform/fields_test.ts
@@ -10,10 +10,12 @@
 import { expect } from "earl";
 import { CallerConnection } from "../../platform/caller_connection.ts";
 import { parseConfiguration } from "../../platform/documents.ts";
+import { LineConnector } from "../../platform/instance_link.ts";
 import {
   AnswerReader,
   LINE_ENCODING,
   LINE_MAX_BYTES,
+  LineSplitter,
 } from "../../platform/lines.ts";
 import type { ResultCode } from "../../src/kernel/result_codes.ts";
 import { noPrimary } from "../../src/plugins/sessions/outcome.ts";
@@ -177,4 +179,37 @@
       expect((await connection.next())?.id).toEqual(undefined);
     });
   });
+
+  // Guards against a name that moves the fields after it, such as the expected id.
+  it("stay apart when a connection to an instance is opened", async () => {
+    for (const name of ["host-1", "host 1", "h\r\nQUERY - X", "", "č Ċ"]) {
+      const lines: string[] = [];
+      const port = await listen((socket) => {
+        const splitter = new LineSplitter();
+        socket.on("data", (chunk) => {
+          lines.push(...splitter.push(chunk));
+          socket.write("READY I 1.1\r\n");
+        });
+      });
+      const opened = await new LineConnector(name).open({
+        id: "i-č",
+        group: "kotačić",
+        host: ADDRESS,
+        port,
+        zone: "zagreb-a",
+        leaving: false,
+        claimsPrimary: true,
+        startedAt: 0,
+      }, 1_000);
+      const owner = { onReleased: () => {}, onClosed: () => {} };
+      opened._unsafeUnwrap()(owner).destroy();
+      expect(lines.length).toEqual(1);
+      const bytes = Buffer.from(lines[0]!, LINE_ENCODING);
+      const fields = bytes.toString("utf8").split(" ");
+      expect(fields.length).toEqual(4);
+      const [word, group, who, id] = fields;
+      expect([word, group, id]).toEqual(["STARTUP", "kotačić", "i-č"]);
+      expect(who!.length).toBeGreaterThan(0);
+    }
+  });
 });
