Refuse to forward a caller's statement under the proxy's own id

A caller's READ, WRITE, EXECUTE or COMMIT with the id `-` reached the instance under the id that the protocol reserves for the statements of the proxy, so that nobody could tell a caller's write from one of the proxy's own.

It is refused as malformed now. Statements that the proxy answers itself are not forwarded and keep working under any id.

--- a/test/platform/fields_test.ts
+++ b/test/platform/fields_test.ts
@@ -158,16 +158,23 @@
     });
   });
 
+  /** A connection and the stream of what its caller sends. */
+  function createConnection() {
+    const input = new Duplex({
+      read: () => {},
+      write: (_chunk, _encoding, done) => done(),
+    });
+    const socket = Object.assign(input, { setNoDelay: () => {} });
+    return {
+      input,
+      connection: new CallerConnection(socket as unknown as Socket),
+    };
+  }
+
   describe("a line that is too long", () => {
     // Guards against a statement that is made of parts of two lines.
     it("is the last one that is read", async () => {
-      const input = new Duplex({
-        read: () => {},
-        write: (_chunk, _encoding, done) => done(),
-      });
-      const connection = new CallerConnection(
-        Object.assign(input, { setNoDelay: () => {} }) as unknown as Socket,
-      );
+      const { input, connection } = createConnection();
       input.push("QUERY q1 READ a\r\nQUERY q2 READ b\r\n");
       expect((await connection.next())?.id).toEqual("q1");
       input.push("QUERY q3 WRITE a " + "x".repeat(LINE_MAX_BYTES - 100));
@@ -212,4 +219,25 @@
       expect(who!.length).toBeGreaterThan(0);
     }
   });
+
+  // Guards against a caller's statement that looks like one of the proxy's own.
+  it("hold no id of the proxy's own statements when they are forwarded", async () => {
+    const { input, connection } = createConnection();
+    for (
+      const [line, kind] of [
+        ["QUERY - READ a", "malformed"],
+        ["QUERY - WRITE a b", "malformed"],
+        ["QUERY - EXECUTE s1 a", "malformed"],
+        ["QUERY - COMMIT", "malformed"],
+        ["QUERY - SET a b", "set"],
+        ["QUERY - ROLLBACK", "rollback"],
+        ["QUERY -- READ a", "read"],
+      ]
+    ) {
+      input.push(`${line}\r\n`);
+      expect((await connection.next())?.statement.kind as string).toEqual(
+        kind!,
+      );
+    }
+  });
 });
