--- a/test/platform/fields_test.ts
+++ b/test/platform/fields_test.ts
@@ -73,6 +73,14 @@
       }
     });
 
+    it("that are too long for a message are answered", async () => {
+      const [database, answer] = await startUp(
+        Buffer.alloc(LINE_MAX_BYTES, "x"),
+      );
+      expect(database).toEqual(undefined);
+      expect(answer!.toString().startsWith("ERROR TOOLARGE ")).toEqual(true);
+    });
+
     it("that are not UTF-8 are unknown", async () => {
       const [database, answer] = await startUp(Buffer.from([0x61, 0xff]));
       expect(database).toEqual(undefined);
