--- a/standins/metadata_store/store_api.ts
+++ b/standins/metadata_store/store_api.ts
@@ -21,6 +21,8 @@
   readonly transactionEntries: number;
   /** Bytes of the values of one transaction. */
   readonly transactionBytes: number;
+  /** Bytes of a row's key. */
+  readonly keyBytes: number;
   /** Longest wait of a feed, in ms. */
   readonly feedWait: number;
 }
@@ -31,6 +33,7 @@
   pageBytes: 1_000_000,
   transactionEntries: 100,
   transactionBytes: 1_000_000,
+  keyBytes: 200,
   feedWait: 30_000,
 };
 
@@ -73,7 +76,10 @@
     }
     const entries = precondition.length + written.length;
     const bytes = puts.reduce((sum, { value }) => sum + value.length, 0);
-    const { transactionEntries, transactionBytes } = this.#limits;
+    const { transactionEntries, transactionBytes, keyBytes } = this.#limits;
+    if (written.some(({ key }) => Buffer.byteLength(key) > keyBytes)) {
+      return { status: 400, body: { error: "too long a key" } };
+    }
     if (entries > transactionEntries || bytes > transactionBytes) {
       return { status: 400, body: { error: "too large a transaction" } };
     }
--- a/test/platform/store_coordination_test.ts
+++ b/test/platform/store_coordination_test.ts
@@ -186,6 +186,86 @@
     });
   });
 
+  describe("names", () => {
+    // Guards against two rows under one key, and against keys that proxies of the last release don't know.
+    it("have keys of their own", async () => {
+      const pairs = [
+        ["ledger", "client-1"],
+        ["a", "b/c"],
+        ["a/b", "c"],
+        ["a", "b%2Fc"],
+        ["a", "c"],
+        ["x".repeat(190), "c"],
+        [`${"x".repeat(190)}y`, "c"],
+        [`${"č".repeat(120)}y`, "c"],
+      ] as const;
+      for (const [group, host] of pairs) {
+        const proxy = new Proxy(host, rows);
+        const written = await proxy.coordination.acknowledge(group, {
+          version: 1,
+          heardAgo: null,
+        });
+        expect(written.isOk()).toEqual(true);
+      }
+      const keys = rows.read(COORDINATION_TABLE, "").map(({ key }) => key);
+      expect(keys.length).toEqual(pairs.length);
+      expect(keys.includes("heeded/ledger/client-1")).toEqual(true);
+    });
+
+    it("of any length and with slashes name the group and the proxy of an acknowledgement", async () => {
+      const groups = ["a", "a/b", "x".repeat(160), "x".repeat(300)];
+      const hosts = ["c", "b/c", "h".repeat(60)];
+      for (const group of groups) {
+        for (const host of hosts) {
+          const [holder, other] = ["holder", host].map((name) =>
+            new Proxy(name, rows)
+          );
+          await holder!.register();
+          const written = await holder!.coordination
+            .putGroup(group, 0, { ...record, holder: "holder" });
+          const { version } = written._unsafeUnwrap();
+          await other!.poll();
+          await other!.coordination
+            .acknowledge(group, { version, heardAgo: null });
+          await holder!.poll();
+          expect(holder!.coordination.group(group)?.version).toEqual(version);
+          expect(other!.coordination.group(group)?.version).toEqual(version);
+          expect(holder!.coordination.acknowledgement(group, host)?.version)
+            .toEqual(version);
+          await holder!.coordination.putGroup(group, version, record);
+          rows = new Rows();
+        }
+      }
+    });
+
+    it("that begin alike don't remove each other's acknowledgements", async () => {
+      const [holder, other] = [new Proxy("h", rows), new Proxy("c", rows)];
+      await other.coordination.acknowledge("a/b", {
+        version: 1,
+        heardAgo: null,
+      });
+      await holder.poll();
+      await holder.coordination.putGroup("a", 0, record);
+      const keys = rows.read(COORDINATION_TABLE, "").map(({ key }) => key);
+      expect(keys.includes("heeded/a/b/c")).toEqual(true);
+    });
+
+    it("are removed with the next version of the group's row", async () => {
+      for (const group of ["a", "x".repeat(300)]) {
+        const [holder, other] = [new Proxy("h", rows), new Proxy("c", rows)];
+        const acknowledgements = () =>
+          rows.read(COORDINATION_TABLE, "heeded/")
+            .filter(({ key }) => key.startsWith("heeded/"));
+        await other.coordination
+          .acknowledge(group, { version: 1, heardAgo: null });
+        expect(acknowledgements().length).toEqual(1);
+        await holder.poll();
+        await holder.coordination.putGroup(group, 0, record);
+        expect(acknowledgements()).toEqual([]);
+      }
+    });
+  });
+
   it("keeps the row of a new run from a removal by the stopped one that takes effect late", async () => {
     const proxy = new Proxy("a", rows);
     await proxy.register();
