Leave out rows of other parts of a table

What callers saw: nothing yet, as nobody writes other parts of the tables op, servers and marjoramshed. A row servers/i-1 of another part would have replaced the address, role or state of instance i-1, and its removal would have lapsed it; a row op/config would have been taken for the configuration.

Cause: a row is named by its part and its key, and the client dropped the part. A read names the part, but a feed has all parts of its table.

Evidence: test failed before: 'leaves out rows of other parts': the value [3 entries] is not equal to []. The stand-in of the store now reads one part, as the platform documents.

--- a/standins/metadata_store/rows.ts
+++ b/standins/metadata_store/rows.ts
@@ -63,10 +63,12 @@
     return undefined;
   }
 
-  /** The rows of a table from a key on. */
-  read(table: string, from: string): readonly WireRow[] {
+  /** The rows of a part of a table from a key on. */
+  read(table: string, from: string, part = ""): readonly WireRow[] {
     return [...this.#rows.values()]
-      .filter((row) => row.table === table && row.key >= from)
+      .filter((row) =>
+        row.table === table && row.part === part && row.key >= from
+      )
       .sort((a, b) => a.key < b.key ? -1 : 1);
   }
 
--- a/standins/metadata_store/store_api.ts
+++ b/standins/metadata_store/store_api.ts
@@ -58,7 +58,11 @@
       case "/api/rows-tx":
         return this.#apply(body as Transaction);
       case "/api/rows-get":
-        return this.#read(table, searchParams.get("from") ?? "");
+        return this.#read(
+          table,
+          searchParams.get("from") ?? "",
+          searchParams.get("part") ?? "",
+        );
       case "/api/rows-feed": {
         const wait = Number(searchParams.get("waitMs") ?? 0);
         const after = Number(searchParams.get("after"));
@@ -88,9 +92,9 @@
     return { status: 412, body: { rows: broken, ...this.#state() } };
   }
 
-  #read(table: string, from: string): StoreAnswer {
+  #read(table: string, from: string, part: string): StoreAnswer {
     const { pageRows, pageBytes } = this.#limits;
-    const found = this.#rows.read(table, from);
+    const found = this.#rows.read(table, from, part);
     const page: WireRow[] = [];
     let bytes = 0;
     for (const row of found) {
--- a/test/platform/store_client_test.ts
+++ b/test/platform/store_client_test.ts
@@ -127,6 +127,19 @@
     });
   });
 
+  // Guards against a row of another part that is taken for the one with the same key.
+  it("leaves out rows of other parts", async () => {
+    const version = rows.version;
+    rows.apply({ puts: [{ table: TABLE, part: "p", key: "a", value: "" }] });
+    rows.apply({ remove: [{ table: TABLE, part: "p", key: "a" }] });
+    rows.apply({ puts: [{ table: TABLE, part: "p", key: "b", value: "" }] });
+    const changes = (await client.feed(TABLE, version, 0))._unsafeUnwrap();
+    expect(changes.rows).toEqual([]);
+    expect(changes.version).toEqual(version + 3);
+    const all = (await client.read(TABLE))._unsafeUnwrap();
+    expect(all.rows.map(({ key }) => key)).toEqual([..."abcdefg"]);
+  });
+
   it("reports a transaction over the limit of entries as refused", async () => {
     const puts = Object.fromEntries(
       Array.from({ length: 101 }, (_, index) => [`k${index}`, index]),
