Cut long texts in log lines

What callers saw: nothing, but the log lost lines. A caller may choose the id of a request and the name of a database; both may be almost 1 MiB long and were logged whole when the request was refused, the id and the name in the reason as well. One such line is larger than the buffer of the log (1 MiB), so other lines were dropped, and up to 200 lines a second were written.

Cause: the fields of a line had no limit.

Evidence: test failed before: 'keep only the beginning of a long text': the value false is not equal to true (the line was longer than 10,000 characters).

Ruled out: forged lines. The lines are JSON, so a text of any bytes stays in its field (tested), and no event takes the names of its fields from outside.

Why it works: all lines of both programs pass EventLog.write, which cuts each text after 2,000 characters; a stack trace fits.

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -100,7 +100,10 @@
 /** Fields of a log line in addition to the event's number and name. */
 export type EventFields = Readonly<Record<string, unknown>>;
 
-/** Writes numbered events as JSON lines. */
+/** Maximum length of a text in a log line, in characters; leaves room for a stack trace. */
+const TEXT_MAX_LENGTH = 2_000;
+
+/** Writes numbered events as JSON lines; long texts are cut, since callers may have written them. */
 export class EventLog {
   readonly #logger: pino.Logger;
 
@@ -110,7 +113,8 @@
 
   /** Writes an event at the level of its kind. */
   write(kind: EventKind, fields: EventFields = {}): void {
-    this.#logger[kind.level]({ event: kind.number, ...fields }, kind.name);
+    const line = limitTexts({ event: kind.number, ...fields });
+    this.#logger[kind.level](line, kind.name);
   }
 
   /** Whether events of this kind are written; check it before computing expensive fields. */
@@ -119,6 +123,15 @@
   }
 }
 
+/** Cuts the long texts among the fields. */
+function limitTexts(fields: Record<string, unknown>): EventFields {
+  for (const [name, value] of Object.entries(fields)) {
+    if (typeof value !== "string" || value.length <= TEXT_MAX_LENGTH) continue;
+    fields[name] = `${value.slice(0, TEXT_MAX_LENGTH)}…`;
+  }
+  return fields;
+}
+
 /** Creates an event log that writes to standard error. */
 export function createEventLog(level: string, base: EventFields): EventLog {
   const destination = pino.destination({ dest: 2, sync: false, minLength: 0 });
--- /dev/null
+++ b/test/event_log_test.ts
@@ -0,0 +1,66 @@
+import { beforeEach, describe, it } from "node:test";
+import { Writable } from "node:stream";
+import { expect } from "earl";
+import pino from "pino";
+import { EventLog, Events } from "../src/kernel/events.ts";
+import { ResultCodes } from "../src/kernel/result_codes.ts";
+import { RequestLog } from "../src/plugins/sessions/request_log.ts";
+
+/** Longest line that a few texts of callers may make, in characters. */
+const LINE_MAX_LENGTH = 10_000;
+
+describe("log lines", () => {
+  let lines: string[];
+  let log: EventLog;
+
+  beforeEach(() => {
+    lines = [];
+    const stream = new Writable({
+      write: (chunk, _, done) => {
+        lines.push(String(chunk));
+        done();
+      },
+    });
+    log = new EventLog(pino({ base: { proxy: "p1" } }, stream));
+  });
+
+  // Guards against callers that fill the buffer of the log, so that other lines are dropped.
+  it("keep only the beginning of a long text", () => {
+    const requests = new RequestLog(log, {
+      served: () => {},
+      refused: () => {},
+      attemptFailed: () => {},
+      lineOmitted: () => {},
+    });
+    const id = "č".repeat(1_000_000);
+    requests.refused(
+      { id, receivedAt: 0 },
+      {
+        code: ResultCodes.DATABASE_UNKNOWN,
+        message: `no route is named ${id}`,
+      },
+      { group: id },
+    );
+    const [line] = lines;
+    expect(line!.length < LINE_MAX_LENGTH).toEqual(true);
+    const { event, request, reason } = JSON.parse(line!);
+    expect(event).toEqual(Events.STATEMENT_REFUSED.number);
+    expect(id.startsWith(request.slice(0, 1_000))).toEqual(true);
+    expect(reason.startsWith("no route is named čč")).toEqual(true);
+  });
+
+  it("keep short texts and other values", () => {
+    const fields = { a: "x".repeat(1_000), b: 1, c: null, d: ["e"] };
+    log.write(Events.UNEXPECTED, fields);
+    const { a, b, c, d } = JSON.parse(lines[0]!);
+    expect({ a, b, c, d }).toEqual(fields);
+  });
+
+  it("stay one line whatever the texts contain", () => {
+    const text = '\r\n{"event":101}\u2028\0"';
+    log.write(Events.UNEXPECTED, { error: text });
+    expect(lines[0]!.trimEnd().includes("\n")).toEqual(false);
+    const { event, error } = JSON.parse(lines[0]!);
+    expect([event, error]).toEqual([106, text]);
+  });
+});
