Escape the labels of the platform's metrics page

What callers saw: nothing. An instance whose id holds a quotation mark or a backslash made the page unreadable, so that no metric of the host was read; another writer may have put such an entry. Line feeds did not get there, as an entry with one in a name is skipped.

Cause: the labels were put between quotation marks as they are.

Evidence: test failed before: 'can be read whatever the names of groups and instances contain': the value [5 entries] is not equal to [].

Why it works: one function formats all labels and escapes what the text format of Prometheus escapes: backslash, quotation mark and line feed. The PostgreSQL face's metrics go through prom-client, which escapes them.

--- a/src/plugins/metrics/metrics_server.ts
+++ b/src/plugins/metrics/metrics_server.ts
@@ -29,6 +29,9 @@
   readonly droppedLogLines: () => number;
 }
 
+/** Values of labels by name. */
+type Labels = Readonly<Record<string, string>>;
+
 /** HTTP server for the path /metrics. */
 export class MetricsServer {
   readonly #address: ServerAddress;
@@ -73,46 +76,57 @@
   render(): string {
     const { requests, pools } = this.#sources;
     const lines: string[] = [];
-    const addSample = (name: string, labels: string, value: number) =>
-      lines.push(`marjoramshed_${name}${labels && `{${labels}}`} ${value}`);
+    const addSample = (name: string, labels: Labels, value: number) =>
+      lines.push(`marjoramshed_${name}${formatLabels(labels)} ${value}`);
     for (const [effect, histogram] of requests.latencies) {
       for (const quantile of QUANTILES) {
         addSample(
           "request_milliseconds",
-          `effect="${effect}",quantile="${quantile}"`,
+          { effect, quantile: String(quantile) },
           histogram.getValueAtPercentile(quantile * 100),
         );
       }
-      addSample("requests_total", `effect="${effect}"`, histogram.totalCount);
+      addSample("requests_total", { effect }, histogram.totalCount);
     }
     for (const [code, count] of requests.refusals) {
-      addSample("refusals_total", `code="${code}"`, count);
+      addSample("refusals_total", { code }, count);
     }
     for (const [reason, count] of requests.failedAttempts) {
-      addSample("failed_attempts_total", `reason="${reason}"`, count);
+      addSample("failed_attempts_total", { reason }, count);
     }
     for (const usage of pools.use()) {
-      const labels = `group="${usage.database}",instance="${usage.instance}"`;
+      const labels = { group: usage.database, instance: usage.instance };
       addSample("connections_open", labels, usage.open);
       addSample("connections_busy", labels, usage.busy);
       addSample("statements_waiting", labels, usage.waiting);
       addSample("connections_share", labels, usage.share);
       addSample("connections_opened_total", labels, usage.opened);
     }
-    addSample("callers", "", this.#sources.callers());
+    addSample("callers", {}, this.#sources.callers());
     addSample(
       "configuration_version",
-      "",
+      {},
       this.#sources.configurationVersion(),
     );
     const age = this.#sources.storeConfirmationAge();
     addSample(
       "store_confirmation_age_milliseconds",
-      "",
+      {},
       Math.round(Math.min(age, 1e9)),
     );
-    addSample("log_lines_sampled_out_total", "", requests.omittedLogLines);
-    addSample("log_lines_dropped_total", "", this.#sources.droppedLogLines());
+    addSample("log_lines_sampled_out_total", {}, requests.omittedLogLines);
+    addSample("log_lines_dropped_total", {}, this.#sources.droppedLogLines());
     return lines.join("\n") + "\n";
   }
 }
+
+/** Formats labels in braces; escapes their values, which may be names that the operator or an instance chose. */
+function formatLabels(labels: Labels): string {
+  const pairs = Object.entries(labels)
+    .map(([name, value]) => `${name}="${escapeValue(value)}"`);
+  return pairs.length === 0 ? "" : `{${pairs.join(",")}}`;
+}
+
+function escapeValue(value: string): string {
+  return value.replace(/[\\"]/g, "\\$&").replaceAll("\n", "\\n");
+}
--- /dev/null
+++ b/test/platform/metrics_test.ts
@@ -0,0 +1,60 @@
+import { beforeEach, describe, it } from "node:test";
+import { expect } from "earl";
+import { createEventLog } from "../../src/kernel/events.ts";
+import { MetricsServer } from "../../src/plugins/metrics/metrics_server.ts";
+import { RequestCounters } from "../../src/plugins/metrics/request_counters.ts";
+
+/** A sample: its name, its labels and its value. */
+const SAMPLE =
+  /^[a-z_]+(?:\{(?:[a-z]+="(?:[^"\\\n]|\\["\\n])*",?)+\})? [-+.e\d]+$/;
+
+describe("the metrics page", () => {
+  let requests: RequestCounters;
+  beforeEach(() => {
+    requests = new RequestCounters();
+  });
+
+  const render = (database: string, instance: string) =>
+    new MetricsServer({ host: "127.0.0.1", port: 0 }, {
+      requests,
+      pools: {
+        use: () => [{
+          database,
+          instance,
+          open: 1,
+          busy: 0,
+          waiting: 0,
+          share: 2,
+          opened: 3,
+        }],
+      },
+      callers: () => 0,
+      configurationVersion: () => 1,
+      storeConfirmationAge: () => 0,
+      droppedLogLines: () => 0,
+    }, createEventLog("silent", {})).render();
+
+  // Guards against a name that makes the whole page unreadable or forges a sample.
+  it("can be read whatever the names of groups and instances contain", () => {
+    const names = [
+      "ledger",
+      'a"',
+      'a"}1',
+      "a\\",
+      "a\nmarjoramshed_callers 7",
+      "床",
+    ];
+    for (const name of names) {
+      const lines = render(name, `i-${name}`).trimEnd().split("\n");
+      expect(lines.filter((line) => !SAMPLE.test(line))).toEqual([]);
+      const callers = lines.filter((line) =>
+        /^marjoramshed_callers /.test(line)
+      );
+      expect(callers).toEqual(["marjoramshed_callers 0"]);
+    }
+    expect(
+      render('a"\\b', "i-1").includes('{group="a\\"\\\\b",instance="i-1"}'),
+    )
+      .toEqual(true);
+  });
+});
