Count failed attempts by a fixed set of reasons

What callers saw: nothing. The metrics page gained a line for each instance whose id has only letters and hyphens, for as long as the process lives: failed_attempts_total with the reason "instance i-a is gone".

Cause: a reason of small letters, spaces and hyphens counted as one of ours; messages with an instance's id may be of that form.

Evidence: test failed before: 'has no label for each instance among the reasons of failed attempts': the value { 23 entries } is not equal to { 4 entries }.

Why it works: only the listed reasons, which hold no text of others, are labels of their own. All other reasons share the label that messages with a digit in the id had already: connection failed.

--- a/src/plugins/metrics/request_counters.ts
+++ b/src/plugins/metrics/request_counters.ts
@@ -15,6 +15,24 @@
 /** Precision of the recorded latencies, in significant decimal digits. */
 const SIGNIFICANT_DIGITS = 2;
 
+/** Reasons that name no instance, each its own label: the faults that instances report, and the ends of connections. */
+const REASON_LABELS: ReadonlySet<string> = new Set([
+  "busy",
+  "lagging",
+  "read-only",
+  "misrouted",
+  "unknown-statement",
+  "failed",
+  "timeout",
+  "other",
+  "not open",
+  "closed here",
+  "closed by the instance",
+  "no longer the primary",
+  "the transaction is not open",
+  "this proxy is stopping",
+]);
+
 /** Counters and latency histograms since the process started. */
 export class RequestCounters implements RequestMetrics {
   /** Latencies in ms of served requests, by effect. */
@@ -57,6 +75,6 @@
   if (reason.includes("no answer")) return "silent";
   if (reason.includes("expected wait")) return "overloaded";
   if (reason.includes("no connection")) return "no connection";
-  if (/^[a-z -]+$/.test(reason)) return reason;
+  if (REASON_LABELS.has(reason)) return reason;
   return "connection failed";
 }
--- a/test/platform/metrics_test.ts
+++ b/test/platform/metrics_test.ts
@@ -57,4 +57,20 @@
     )
       .toEqual(true);
   });
+
+  it("has no label for each instance among the reasons of failed attempts", () => {
+    for (const letter of "abcdefghij") {
+      requests.attemptFailed(`instance i-${letter} is gone`);
+      requests.attemptFailed(`i-${letter} could not be reached a moment ago`);
+    }
+    requests.attemptFailed("lagging");
+    requests.attemptFailed("closed by the instance");
+    requests.attemptFailed("no answer within 300 ms");
+    expect(Object.fromEntries(requests.failedAttempts)).toEqual({
+      "connection failed": 20,
+      lagging: 1,
+      "closed by the instance": 1,
+      silent: 1,
+    });
+  });
 });
