Log the zone of an instance beside that of the proxy

What callers saw: nothing. Each line of the log has the name and the zone of the proxy that wrote it. A line about an instance (event 509) had the field zone twice; readers that keep the last one took the instance's zone for the proxy's.

Cause: the fields of the instance, zone among them, were spread into the line, and pino does not merge names.

Evidence: test failed before: 'name the proxy's own availability zone beside that of an instance': the value 3 is not equal to 2 (the line was split at the field's name).

--- a/test/event_log_test.ts
+++ b/test/event_log_test.ts
@@ -2,8 +2,10 @@
 import { Writable } from "node:stream";
 import { expect } from "earl";
 import pino from "pino";
+import { createInstanceListener } from "../platform/followed_tables.ts";
 import { EventLog, Events } from "../src/kernel/events.ts";
 import { ResultCodes } from "../src/kernel/result_codes.ts";
+import { InstanceDirectory } from "../src/plugins/deployment/instance_directory.ts";
 import { RequestLog } from "../src/plugins/sessions/request_log.ts";
 
 /** Longest line that a few texts of callers may make, in characters. */
@@ -21,7 +23,9 @@
         done();
       },
     });
-    log = new EventLog(pino({ base: { proxy: "p1" } }, stream));
+    log = new EventLog(
+      pino({ base: { proxy: "p1", zone: "zagreb-a" } }, stream),
+    );
   });
 
   // Guards against callers that fill the buffer of the log, so that other lines are dropped.
@@ -49,6 +53,23 @@
     expect(reason.startsWith("no route is named čč")).toEqual(true);
   });
 
+  // Guards against another's availability zone that is read as that of the proxy.
+  it("name the proxy's own availability zone beside that of an instance", () => {
+    const value = Buffer.from(JSON.stringify({
+      service: "ledger",
+      address: "127.0.0.1:9",
+      zone: "split-a",
+      state: "ready",
+      dbRole: "replica",
+    }));
+    createInstanceListener(new InstanceDirectory(), log)
+      .change({ table: "servers", key: "i-1", value, version: 1 });
+    const [line] = lines;
+    expect(line!.split('"zone":').length).toEqual(2);
+    const { event, zone, instanceZone } = JSON.parse(line!);
+    expect([event, zone, instanceZone]).toEqual([509, "zagreb-a", "split-a"]);
+  });
+
   it("keep short texts and other values", () => {
     const fields = { a: "x".repeat(1_000), b: 1, c: null, d: ["e"] };
     log.write(Events.UNEXPECTED, fields);
