Read what has arrived before a test's caller sends, and end its writer first

Two failures beside load (23 on 8 cores), one run each: restart_test, "answers every statement when signals to stop and to reload overlap" (the last statement of all 16 callers unanswered), and suspension_test ("closed in the middle" after its end).

Cause of the first, in the test's caller: it waits 5 ms and looks whether its connection has ended. When its process stands still meanwhile, the timer fires before Node.js has read the end of the connection, which has long arrived, and the caller sends into a closed connection. Of the second: the test stopped its hosts while its writer still ran a statement.

The checks are as strict as before: each statement that is sent before the end of the connection has arrived must be answered, and every error of the writer counts.

--- a/test/platform/restart_test.ts
+++ b/test/platform/restart_test.ts
@@ -93,6 +93,8 @@
         if (!answer) cut.push(id);
         else if (answer.error) refused.push(answer.error);
         await sleep(5);
+        // A timer may fire before the end of the connection, which has arrived, is read.
+        await caller.readArrived();
       }
     });
     for (const signal of signals) {
--- a/test/platform/suspension_test.ts
+++ b/test/platform/suspension_test.ts
@@ -26,11 +26,12 @@
   let deployment: Deployment;
   const written: Written[] = [];
   let writing = true;
+  let load: Promise<void>;
 
   before(async () => {
     deployment = await Deployment.start({ standingClock: true });
     const writer = await deployment.open(0, "booking");
-    void (async () => {
+    load = (async () => {
       for (let number = 1; writing; number += 1) {
         const { error } = await writer.run(`WRITE counter ${number}`);
         if (!error) written.push({ number, acknowledgedAt: performance.now() });
@@ -41,6 +42,7 @@
   });
   after(async () => {
     writing = false;
+    await load;
     await deployment.stop();
   });
 
