Refuse as too long only what can't be forwarded as it is

The connection measures the line that it would send; what is too long is not sent, and the session refuses it at once as not run (405, TOOLARGE). Only PREPARE is measured with the longest name when it is read, since it is acknowledged before an instance is chosen.

--- a/src/plugins/sessions/caller.ts
+++ b/src/plugins/sessions/caller.ts
@@ -29,7 +29,9 @@
     readonly arguments: string;
   }
   | { readonly kind: "deallocate"; readonly name: string }
-  | { readonly kind: "malformed"; readonly reason: string };
+  | { readonly kind: "malformed"; readonly reason: string }
+  /** A statement that can't be forwarded because of its length. */
+  | { readonly kind: "too long" };
 
 /** A statement with its request id and time of receipt. */
 export interface CallerRequest {
--- a/src/plugins/sessions/caller_session.ts
+++ b/src/plugins/sessions/caller_session.ts
@@ -22,6 +22,7 @@
   type Outcome,
   outcomeUnknown,
   sessionTooLarge,
+  statementTooLong,
   transactionLost,
 } from "./outcome.ts";
 import { runRead } from "./read_run.ts";
@@ -169,6 +170,8 @@
     switch (statement.kind) {
       case "malformed":
         return this.#refuseInvalid(request, statement.reason);
+      case "too long":
+        return this.#refuse(request, statementTooLong());
       case "commit":
         return await this.#commit(request, statement.text);
       case "rollback":
--- a/src/plugins/sessions/link_run.ts
+++ b/src/plugins/sessions/link_run.ts
@@ -36,6 +36,8 @@
   const running = link.run({ id, operation, after }, deadline);
   session.track(running);
   const result = await running;
-  if (result.isErr()) context.succession.onFailure(route.group, link.instance);
+  if (result.isErr() && !result.error.notSent) {
+    context.succession.onFailure(route.group, link.instance);
+  }
   return result;
 }
--- a/src/plugins/sessions/outcome.ts
+++ b/src/plugins/sessions/outcome.ts
@@ -34,6 +34,11 @@
   return code === ResultCodes.QUEUE_FULL || code === ResultCodes.QUEUE_DEADLINE;
 }
 
+/** Whether an attempt that was not sent is the last one: another would be refused for the same reason. */
+export function isFinal(failure: Failure): boolean {
+  return isOverload(failure) || failure.code === ResultCodes.MESSAGE_TOO_LARGE;
+}
+
 /** The outcome that forwards an answer unchanged. */
 export function answered(answer: Answer): Outcome {
   return { kind: "answered", answer };
@@ -88,6 +93,14 @@
   return createFailure(ResultCodes.TRANSACTION_LOST, detail);
 }
 
+/** Failure for a statement that is too long for a message to an instance. */
+export function statementTooLong(): Failure {
+  return createFailure(
+    ResultCodes.MESSAGE_TOO_LARGE,
+    "the statement is too long to be forwarded",
+  );
+}
+
 /** Failure for a value or a prepared statement that a session can't hold in addition to its others. */
 export function sessionTooLarge(): Failure {
   return createFailure(
--- a/src/plugins/sessions/primary_run.ts
+++ b/src/plugins/sessions/primary_run.ts
@@ -11,7 +11,7 @@
 import type { Answer, LinkLoss, LinkOperation } from "../upstream/link.ts";
 import { formatPosition } from "../upstream/position.ts";
 import { acquireLink, runOnLink } from "./link_run.ts";
-import { isOverload, noPrimary, type Outcome, refused } from "./outcome.ts";
+import { isFinal, noPrimary, type Outcome, refused } from "./outcome.ts";
 import { confirmAnswer, recordLeaderAnswer } from "./primary_confirmation.ts";
 import type { Task } from "./session_context.ts";
 
@@ -67,7 +67,7 @@
       logFailedAttempt(task, leader, attempt);
       lastOutcome = evaluated.retry;
       if (attempt.kind !== "not sent") continue;
-      if (isOverload(attempt.failure)) return refused(attempt.failure);
+      if (isFinal(attempt.failure)) return refused(attempt.failure);
     } finally {
       leave();
     }
@@ -84,7 +84,12 @@
   if (acquired.isErr()) return { kind: "not sent", failure: acquired.error };
   const link = acquired.value;
   const result = await runOnLink(task, link, statement);
-  if (result.isErr()) return { kind: "lost", loss: result.error };
+  if (result.isErr()) {
+    const { notSent } = result.error;
+    if (!notSent) return { kind: "lost", loss: result.error };
+    link.release();
+    return { kind: "not sent", failure: notSent };
+  }
   const answer = result.value;
   link.release(answer.fault === "busy");
   recordLeaderAnswer(task.context, task.route.group, leader, answer);
--- a/src/plugins/sessions/read_run.ts
+++ b/src/plugins/sessions/read_run.ts
@@ -42,7 +42,7 @@
 type Attempt =
   | { readonly kind: "answered"; readonly answer: Answer }
   | { readonly kind: "retry"; readonly reason: string }
-  | { readonly kind: "overloaded"; readonly failure: Failure };
+  | { readonly kind: "turned away"; readonly failure: Failure };
 
 /** Runs a read until an instance has answered it or its deadline is reached. */
 export async function runRead(
@@ -93,14 +93,14 @@
   const { route, deadline } = task;
   const excluded = new Set<string>();
   let reason = "no young enough position of the primary is known";
-  let overload: Failure | undefined;
+  let refusal: Failure | undefined;
   let retryDelay = RETRY_DELAY_MS;
   while (clock.now() < deadline - MIN_REMAINING_MS) {
     const position = await requirePosition(task);
     if (!position) break;
     const place = placeRead(task, position, excluded);
     if (!place) {
-      if (overload) return refused(overload);
+      if (refusal) return refused(refusal);
       excluded.clear();
       await sleep(retryDelay);
       retryDelay = Math.min(MAX_RETRY_DELAY_MS, 2 * retryDelay);
@@ -121,10 +121,10 @@
     );
     race.won = true;
     if (attempt.kind === "answered") return answered(attempt.answer);
-    if (attempt.kind === "overloaded") overload = attempt.failure;
+    if (attempt.kind === "turned away") refusal = attempt.failure;
     else reason = attempt.reason;
   }
-  return refused(overload ?? noReadInstance(route.group, reason));
+  return refused(refusal ?? noReadInstance(route.group, reason));
 }
 
 /** Hedges a read: starts the second attempt if the first is slow, and resolves to the first answer. */
@@ -157,7 +157,7 @@
   const leader = context.succession.leadership(route.group).current();
   const lease = await acquireLink(task, instance);
   if (lease.isErr()) {
-    if (isOverload(lease.error)) return overloaded(task, instance, lease.error);
+    if (isOverload(lease.error)) return turnAway(task, instance, lease.error);
     context.placement.recordFailure(instance);
     return failedAttempt(task, instance, lease.error.message, position);
   }
@@ -168,6 +168,11 @@
   }
   const result = await runOnLink(task, link, read, position);
   if (result.isErr()) {
+    const { notSent } = result.error;
+    if (notSent) {
+      link.release();
+      return turnAway(task, instance, notSent);
+    }
     context.placement.recordFailure(instance);
     return failedAttempt(task, instance, result.error.reason, position);
   }
@@ -211,7 +216,7 @@
   return { kind: "retry", reason: `${instance}: ${reason}` };
 }
 
-function overloaded(
+function turnAway(
   task: Task,
   instance: string,
   failure: Failure,
@@ -219,5 +224,5 @@
   task.context.requests.attemptFailed(task, instance, failure.message, {
     group: task.route.group,
   });
-  return { kind: "overloaded", failure };
+  return { kind: "turned away", failure };
 }
--- a/src/plugins/sessions/transaction.ts
+++ b/src/plugins/sessions/transaction.ts
@@ -214,7 +214,12 @@
     );
     task.session.track(running);
     const result = await running;
-    if (result.isErr()) return this.#connectionLost(task, result.error.reason);
+    if (result.isErr()) {
+      const { notSent, reason } = result.error;
+      if (!notSent) return this.#connectionLost(task, reason);
+      this.abandon();
+      return refused(notSent);
+    }
     const answer = result.value;
     this.#recordAnswer(task, answer);
     if (answer.state === "idle") {
--- a/src/plugins/upstream/link.ts
+++ b/src/plugins/upstream/link.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Result } from "neverthrow";
+import type { Failure } from "../../kernel/result_codes.ts";
 import type { PoolMember } from "../connections/pool_member.ts";
 import type { Position } from "./position.ts";
 
@@ -56,6 +57,8 @@
    * time in ms until which the statement may still run. Without it, it can no longer run.
    */
   readonly over?: Promise<number>;
+  /** Why the statement was not sent; the connection is open then, and its borrower releases it. */
+  readonly notSent?: Failure;
 }
 
 /** Operation to run: the caller's statement text, or a statement prepared on the link. */
@@ -103,7 +106,7 @@
   readonly instance: string;
   /** Session values that are set on the connection. */
   readonly values: ReadonlyMap<string, string>;
-  /** Name by which the instance knows a statement that is prepared on the connection; undefined if it is not prepared. */
+  /** Name by which the instance knows a statement that is prepared on the connection; undefined if it is not prepared. Counts as a use, which keeps the statement prepared for longer. */
   preparedName(statement: PreparedStatement): string | undefined;
   /** Runs a statement; an instance's fault is part of the answer, not a loss. */
   run(statement: LinkStatement, deadline: number): LinkResult<Answer>;
