--- a/test/platform/fields_test.ts
+++ b/test/platform/fields_test.ts
@@ -10,7 +10,7 @@
 import { expect } from "earl";
 import { CallerConnection } from "../../platform/caller_connection.ts";
 import { parseConfiguration } from "../../platform/documents.ts";
-import { LineConnector } from "../../platform/instance_link.ts";
+import { LineConnector } from "../../platform/line_connector.ts";
 import {
   AnswerReader,
   LINE_ENCODING,
--- a/test/platform/forwarded_text_test.ts
+++ b/test/platform/forwarded_text_test.ts
@@ -9,7 +9,7 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { CallerConnection } from "../../platform/caller_connection.ts";
-import { LineConnector } from "../../platform/instance_link.ts";
+import { LineConnector } from "../../platform/line_connector.ts";
 import { LINE_ENCODING } from "../../platform/lines.ts";
 import { clock } from "../../src/kernel/clock.ts";
 import type {
--- a/test/platform/held_statements_test.ts
+++ b/test/platform/held_statements_test.ts
@@ -8,7 +8,7 @@
 import { after, describe, it } from "node:test";
 import { expect } from "earl";
 import { err, ok } from "neverthrow";
-import { LineConnector } from "../../platform/instance_link.ts";
+import { LineConnector } from "../../platform/line_connector.ts";
 import { clock } from "../../src/kernel/clock.ts";
 import type { PoolOwner } from "../../src/plugins/connections/pool_member.ts";
 import { SessionState } from "../../src/plugins/sessions/session_context.ts";
--- a/test/platform/malformed_input_test.ts
+++ b/test/platform/malformed_input_test.ts
@@ -10,7 +10,7 @@
 import fc from "fast-check";
 import { CallerConnection } from "../../platform/caller_connection.ts";
 import { parseConfiguration, parseInstance } from "../../platform/documents.ts";
-import { LineConnector } from "../../platform/instance_link.ts";
+import { LineConnector } from "../../platform/line_connector.ts";
 import {
   AnswerReader,
   LINE_ENCODING,
