Change a statement's name only when its former use can't run any more

PREPARE of a name that stands for another statement, and DEALLOCATE, wait as SET does while an earlier statement of the session may run, up to the route's target latency; else they are refused as not run (415). The same shape, another name, and sessions with nothing outstanding don't wait.

faults_test, "refuse another meaning of its name": before, PREPARE and DEALLOCATE were acknowledged.

--- a/src/plugins/sessions/caller_session.ts
+++ b/src/plugins/sessions/caller_session.ts
@@ -26,6 +26,7 @@
   transactionLost,
 } from "./outcome.ts";
 import { runRead } from "./read_run.ts";
+import { resolveStatement } from "./statement_resolution.ts";
 import {
   type SessionContext,
   SessionState,
@@ -184,13 +185,9 @@
       case "set":
         return await this.#set(request, statement);
       case "prepare":
-        if (!this.#session.prepare(statement.name, statement.shape)) {
-          return this.#refuse(request, sessionTooLarge());
-        }
-        return this.#channel.complete(this.#state);
+        return await this.#prepare(request, statement);
       case "deallocate":
-        this.#session.deallocate(statement.name);
-        return this.#channel.complete(this.#state);
+        return await this.#deallocate(request, statement.name);
       case "begin":
         return this.#begin(request, statement.readOnly);
       default:
@@ -203,21 +200,53 @@
     request: CallerRequest,
     { name, value }: CallerStatement & { kind: "set" },
   ): Promise<void> {
-    const task = this.#createTask(request);
-    if (!task) return this.#refuseUnknownDatabase(request);
-    if (!await this.#session.waitForRunning(task.usefulUntil)) {
-      const failure = createFailure(
-        ResultCodes.EARLIER_STATEMENT_RUNNING,
-        "an earlier statement of this session may still run; connect again",
-      );
-      return this.#refuse(request, failure);
-    }
+    if (!await this.#waitForRunning(request)) return;
     if (!this.#session.setValue(name, value)) {
       return this.#refuse(request, sessionTooLarge());
     }
     this.#channel.complete(this.#state);
   }
 
+  /** Prepares a statement; a name that stands for another one changes its meaning only as a value does. */
+  async #prepare(
+    request: CallerRequest,
+    { name, shape }: CallerStatement & { kind: "prepare" },
+  ): Promise<void> {
+    const { mayRunEarlier } = this.#session;
+    if (mayRunEarlier && this.#session.isNameTaken(name, shape)) {
+      if (!await this.#waitForRunning(request)) return;
+    }
+    if (!this.#session.prepare(name, shape)) {
+      return this.#refuse(request, sessionTooLarge());
+    }
+    this.#channel.complete(this.#state);
+  }
+
+  async #deallocate(request: CallerRequest, name: string): Promise<void> {
+    const { mayRunEarlier, prepared } = this.#session;
+    if (mayRunEarlier && prepared.has(name)) {
+      if (!await this.#waitForRunning(request)) return;
+    }
+    this.#session.deallocate(name);
+    this.#channel.complete(this.#state);
+  }
+
+  /** Resolves to true when no earlier statement of the session can run any more; otherwise refuses the request. */
+  async #waitForRunning(request: CallerRequest): Promise<boolean> {
+    const task = this.#createTask(request);
+    if (!task) {
+      this.#refuseUnknownDatabase(request);
+      return false;
+    }
+    if (await this.#session.waitForRunning(task.usefulUntil)) return true;
+    const failure = createFailure(
+      ResultCodes.EARLIER_STATEMENT_RUNNING,
+      "an earlier statement of this session may still run; connect again",
+    );
+    this.#refuse(request, failure);
+    return false;
+  }
+
   #begin(request: CallerRequest, readOnly: boolean): void {
     if (this.#transaction) return this.#refuseInvalid(request, "already open");
     const task = this.#createTask(request);
@@ -232,7 +261,7 @@
     request: CallerRequest,
     statement: CallerStatement & { kind: "read" | "write" | "execute" },
   ): Promise<void> {
-    const resolved = this.#resolve(statement);
+    const resolved = resolveStatement(statement, this.#session.prepared);
     if (!resolved) {
       const failure = createFailure(
         ResultCodes.STATEMENT_UNKNOWN,
@@ -301,31 +330,6 @@
     this.#channel.complete("idle");
   }
 
-  /** The operation that a statement runs and its effect; undefined for a prepared statement that does not exist. */
-  #resolve(
-    statement: CallerStatement & { kind: "read" | "write" | "execute" },
-  ):
-    | {
-      readonly effect: "read" | "write";
-      readonly operation: LinkOperation;
-    }
-    | undefined {
-    if (statement.kind !== "execute") {
-      const operation = { kind: "text", text: statement.text } as const;
-      return { effect: statement.kind, operation };
-    }
-    const prepared = this.#session.prepared.get(statement.name);
-    if (!prepared) return undefined;
-    return {
-      effect: prepared.effect,
-      operation: {
-        kind: "execute",
-        statement: prepared,
-        arguments: statement.arguments,
-      },
-    };
-  }
-
   #createTask(request: CallerRequest): Task | undefined {
     const route = this.#transaction && this.#route ||
       this.#context.routes.route(this.#database);
--- a/src/plugins/sessions/session_context.ts
+++ b/src/plugins/sessions/session_context.ts
@@ -75,6 +75,13 @@
     return true;
   }
 
+  /** Whether a name stands for another prepared statement. */
+  isNameTaken(name: string, { effect, shape }: PreparedStatement): boolean {
+    const present = this.#prepared.get(name);
+    if (!present) return false;
+    return present.effect !== effect || present.shape !== shape;
+  }
+
   /** Removes a prepared statement, if it exists. */
   deallocate(name: string): void {
     const former = this.#prepared.get(name)?.shape;
@@ -90,6 +97,11 @@
     return true;
   }
 
+  /** Whether a statement that was sent earlier may still run. */
+  get mayRunEarlier(): boolean {
+    return this.#running.size > 0 || this.#mayRunUntil > clock.now();
+  }
+
   /** Tracks a statement that was sent. */
   track(sent: LinkResult<Answer>): void {
     const completion = this.#awaitEnd(sent);
--- a/test/platform/faults_test.ts
+++ b/test/platform/faults_test.ts
@@ -96,6 +96,23 @@
       caller.close();
     });
 
+    // Guards against a statement that runs with a former shape after its name was given to another one.
+    it("that is silent makes a session with an unanswered statement refuse another meaning of its name", async () => {
+      deployment = await Deployment.start();
+      const caller = await deployment.open(0, "booking");
+      await caller.run("PREPARE s1 WRITE q1");
+      expect((await caller.run("EXECUTE s1 held x")).error).toEqual(undefined);
+      await deployment.order("darken", PRIMARY);
+      expect((await caller.run("EXECUTE s1 held y")).error).toEqual("UNKNOWN");
+      expect((await caller.run("PREPARE s1 WRITE q2")).error).toEqual("BUSY");
+      expect((await caller.run("DEALLOCATE s1")).error).toEqual("BUSY");
+      expect((await caller.run("PREPARE s1 WRITE q1")).error)
+        .toEqual(undefined);
+      expect((await caller.run("PREPARE s2 WRITE q2")).error)
+        .toEqual(undefined);
+      caller.close();
+    });
+
     it("that leaves hands over with nothing refused and nothing lost", async () => {
       deployment = await Deployment.start();
       const callers = await Promise.all(
