Keep the connection after a pipelined SET among other statements

A caller that sends a SET and another statement before one Sync (a driver's pipeline or batch, or a text that the driver splits) changed the pooled connection for whoever used it next: the session of the next caller had its time zone, search path or tenant, and the caller itself lost the value with the connection.

The proxy replays a SET only when it is the only text of its unit. A Query with several statements is pinned for that reason, but a unit of the extended protocol with several texts was neither replayed nor pinned, was sent as a read to any instance, and its connection went back to the pool with settings that its record did not hold.

Evidence: the plans of such units in plan_test.ts, before: `The value { effect: "read", pinned: false } is not equal to { effect: "write", pinned: true }`, for SET, for a SET of the proxy's own settings and for DEALLOCATE.

A unit that executes several texts now keeps its connection under the same conditions as a Query with several statements.

--- a/src/plugins/callers/plan.ts
+++ b/src/plugins/callers/plan.ts
@@ -52,14 +52,16 @@
   const single = classifications.length === 1 ? classifications[0] : undefined;
   const hasHiddenTransaction = !single &&
     classifications.some((item) => item.transaction !== undefined);
+  // A setting among other texts can't be replayed alone.
+  const pinned =
+    classifications.some((item) => item.sessionState === "pinned") ||
+    !single && executes(unit) && classifications.some(changesSession);
   return {
-    effect: executes(unit)
-      ? strongestEffect(classifications.map((item) => item.effect))
-      : effectOfPreparing(classifications),
+    effect: effectOf(unit, classifications, pinned),
     single,
     mixedTransaction: hasHiddenTransaction ||
       classifications.some((item) => item.mixedTransaction),
-    pinned: classifications.some((item) => item.sessionState === "pinned"),
+    pinned,
     unsupported: classifications.some((item) => item.unsupported),
     tables: classifications.flatMap((item) => item.tables),
     requestId: firstDefined(classifications.map((item) => item.requestId)),
@@ -75,6 +77,22 @@
   );
 }
 
+function effectOf(
+  unit: Unit,
+  classifications: readonly Classification[],
+  pinned: boolean,
+): Effect {
+  if (!executes(unit)) return effectOfPreparing(classifications);
+  if (pinned) return "write";
+  return strongestEffect(classifications.map((item) => item.effect));
+}
+
+/** Whether the text changes the session in a way that the proxy replays or answers itself when it is the only text. */
+function changesSession(item: Classification): boolean {
+  return item.sessionState !== undefined || item.proxySetting !== undefined ||
+    item.deallocatedStatement !== undefined;
+}
+
 /** Effect of a unit that only prepares, which writes nothing; statements that would write are prepared on the primary. */
 function effectOfPreparing(classifications: readonly Classification[]): Effect {
   const reads = classifications.length > 0 &&
--- /dev/null
+++ b/test/plan_test.ts
@@ -0,0 +1,65 @@
+/**
+ * Tests of the plan of a unit, which decides where it runs and whether its
+ * connection may be used by other callers afterwards.
+ *
+ * @module
+ */
+import { before, describe, it } from "node:test";
+import { expect } from "earl";
+import { serialize } from "pg-protocol";
+import { createPlan, type Plan } from "../src/plugins/callers/plan.ts";
+import type { Unit } from "../src/plugins/callers/unit_reader.ts";
+import { GrammarClassifier } from "../src/plugins/classification/grammar_classifier.ts";
+import { splitMessages } from "../src/plugins/wire/message.ts";
+
+const SETTING = "SET TimeZone = 'Asia/Tokyo'";
+const READ = "SELECT now()";
+
+describe("plan of a unit", () => {
+  const classifier = new GrammarClassifier();
+
+  before(() => classifier.start());
+
+  function plan(...parts: readonly Buffer[]): Plan {
+    const messages = splitMessages(Buffer.concat([...parts, serialize.sync()]));
+    const unit: Unit = { messages, end: "sync" };
+    return createPlan(unit, new Map(), classifier);
+  }
+
+  function executeText(text: string): Buffer {
+    return Buffer.concat([
+      serialize.parse({ text }),
+      serialize.bind(),
+      serialize.execute(),
+    ]);
+  }
+
+  describe("that executes a setting among other statements", () => {
+    for (
+      const text of [
+        SETTING,
+        "SET marjoramshed.kind = 'stock'",
+        "DEALLOCATE other",
+      ]
+    ) {
+      it(`keeps the connection for the session after ${text}`, () => {
+        const { pinned, effect } = plan(executeText(text), executeText(READ));
+        expect({ pinned, effect }).toEqual({ pinned: true, effect: "write" });
+      });
+    }
+
+    it("keeps nothing when it only prepares the setting", () => {
+      const { pinned, effect } = plan(
+        serialize.parse({ name: "a", text: SETTING }),
+        serialize.parse({ name: "b", text: READ }),
+      );
+      expect({ pinned, effect }).toEqual({ pinned: false, effect: "control" });
+    });
+  });
+
+  it("keeps nothing for a setting alone, which is replayed", () => {
+    const { pinned, single } = plan(executeText(SETTING));
+    expect(pinned).toEqual(false);
+    expect(single?.replayed?.name).toEqual("timezone");
+  });
+});
