Keep a connection's settings on record after DEALLOCATE ALL

A caller with settings of its own that sent DEALLOCATE ALL (drivers do so to drop their prepared statements) left its time zone, search path or tenant on the pooled connection for the next caller, and lost them itself on every other connection.

DEALLOCATE ALL was treated like DISCARD ALL: the record of the connection's settings and the session's own were cleared, but PostgreSQL resets no setting there, so the next caller without settings was given the connection as it was. The stand-in of an instance made the same mistake (it ran RESET ALL for both) and hid it.

Only DISCARD ALL clears the settings now, in the proxy and in the stand-in, which answers DEALLOCATE ALL with PostgreSQL's own tag.

--- a/src/plugins/callers/run.ts
+++ b/src/plugins/callers/run.ts
@@ -135,9 +135,11 @@
   const single = plan.single;
   if (single?.discardsState) {
     prepared.clear();
+    state.statements.clear();
+  }
+  if (single?.resetsSettings) {
     settings.clear();
     state.settings.clear();
-    state.statements.clear();
   }
   if (!single?.replayed) return;
   state.replay(single.replayed);
--- a/src/plugins/classification/classification.ts
+++ b/src/plugins/classification/classification.ts
@@ -60,6 +60,8 @@
   readonly shownSetting?: string;
   /** Whether the text contains `DISCARD ALL` or `DEALLOCATE ALL`, after which the proxy clears its own records of the session too. */
   readonly discardsState: boolean;
+  /** Whether the text contains `DISCARD ALL`, which resets the session's settings too. */
+  readonly resetsSettings?: boolean;
   /** Name of the prepared statement that `DEALLOCATE name` drops. */
   readonly deallocatedStatement?: string;
   /** Whether the text contains LISTEN, UNLISTEN, NOTIFY or COPY, whose message flow the proxy does not support. */
--- a/src/plugins/classification/grammar_classifier.ts
+++ b/src/plugins/classification/grammar_classifier.ts
@@ -132,6 +132,7 @@
     proxySetting: single?.proxySetting,
     shownSetting: single?.shownSetting,
     discardsState: summaries.some((part) => part.discardsState === true),
+    resetsSettings: summaries.some((part) => part.resetsSettings === true),
     deallocatedStatement: single?.deallocatedStatement,
     unsupported: summaries.some((part) => part.unsupported === true),
     tables: [...new Set(summaries.flatMap((part) => part.tables ?? []))],
--- a/src/plugins/classification/statement_summary.ts
+++ b/src/plugins/classification/statement_summary.ts
@@ -22,6 +22,7 @@
   readonly proxySetting?: ProxySetting;
   readonly shownSetting?: string;
   readonly discardsState?: boolean;
+  readonly resetsSettings?: boolean;
   readonly deallocatedStatement?: string;
   readonly unsupported?: boolean;
   readonly tables?: readonly string[];
@@ -224,7 +225,9 @@
 }
 
 function summarizeDiscard(node: ParseNode): StatementSummary {
-  if (node.target === "DISCARD_ALL") return { ...CONTROL, discardsState: true };
+  if (node.target === "DISCARD_ALL") {
+    return { ...CONTROL, discardsState: true, resetsSettings: true };
+  }
   if (node.target === "DISCARD_TEMP") return PINNED;
   return CONTROL;
 }
--- a/standins/instance/engine_response.ts
+++ b/standins/instance/engine_response.ts
@@ -5,7 +5,10 @@
  * @module
  */
 import { SCHEMA_NOTICE, WRITE_NOTICE } from "./capture_schema.ts";
-import { readFields, splitMessages } from "./wire.ts";
+import { createCommandComplete, readFields, splitMessages } from "./wire.ts";
+
+const PLANS_DISCARDED = createCommandComplete("DISCARD PLANS");
+const ALL_DEALLOCATED = createCommandComplete("DEALLOCATE ALL");
 
 /** Transaction status of ReadyForQuery: idle, in a transaction, or in a failed transaction. */
 export type TransactionStatus = "I" | "T" | "E";
@@ -57,7 +60,7 @@
       schemaChanged = true;
       continue;
     }
-    kept.push(bytes);
+    kept.push(bytes.equals(PLANS_DISCARDED) ? ALL_DEALLOCATED : bytes);
   }
   const bytes = Buffer.concat(kept);
   return { bytes, status, failed, wrote, schemaChanged };
--- a/standins/instance/session_context.ts
+++ b/standins/instance/session_context.ts
@@ -25,10 +25,13 @@
   "canceling statement due to user request",
 );
 
+/** Stands for DEALLOCATE ALL, which would drop the statements of all connections on the engine; callers can't send it. */
+const DEALLOCATED = "DISCARD PLANS";
+
 /**
  * Returns the SQL to run on the engine for a statement: its own text, or a statement
  * that raises the required error. For DISCARD ALL and DEALLOCATE ALL, closes the
- * connection's prepared statements on the engine and returns RESET ALL.
+ * connection's prepared statements on the engine; only DISCARD ALL resets settings.
  */
 export function rewriteForEngine(
   { instance, preparedStatements, access }: SessionContext,
@@ -45,7 +48,7 @@
   }
   if (!statement.deallocatesAll) return statement.text;
   access.execute(preparedStatements.closeAll());
-  return "RESET ALL";
+  return statement.resetsAll ? "RESET ALL" : DEALLOCATED;
 }
 
 /** Returns SQL that raises the failure on the engine, so that the open transaction fails too. */
--- a/standins/instance/statement.ts
+++ b/standins/instance/statement.ts
@@ -35,6 +35,8 @@
   readonly sleepMs: number;
   /** Whether the text deallocates all prepared statements of the connection. */
   readonly deallocatesAll: boolean;
+  /** Whether the text also resets all settings, as DISCARD ALL does. */
+  readonly resetsAll: boolean;
 }
 
 /** Inspects the text of a query. */
@@ -44,6 +46,7 @@
   const deallocatesAll = /^(discard|deallocate)\s+all\b/i.test(
     withoutLeadingComments,
   );
+  const resetsAll = /^discard\s+all\b/i.test(withoutLeadingComments);
   return {
     text,
     unsupportedReason: deallocatesAll
@@ -52,12 +55,13 @@
     requestsReadWrite: /\bread\s+write\b/i.test(text),
     changesSequence: SEQUENCE_CHANGE.test(text),
     changesSettings: SETTING_CHANGE.test(withoutLeadingComments) ||
-      deallocatesAll,
+      resetsAll,
     customSettings: [...text.matchAll(CUSTOM_SETTING_CHANGE)].map(([, name]) =>
       name!
     ),
     sleepMs: Number(SLEEP_CALL.exec(text)?.[1] ?? 0) * 1_000,
     deallocatesAll,
+    resetsAll,
   };
 }
 
--- a/test/instance_test.ts
+++ b/test/instance_test.ts
@@ -112,6 +112,8 @@
       expect(otherValues.s || null).toEqual(null);
       const ownValues = (await client.query(sql)).rows[0];
       expect(ownValues).toEqual({ z: "Asia/Amman", s: "zagreb" });
+      await client.query("DEALLOCATE ALL");
+      expect((await client.query(sql)).rows[0].z).toEqual("Asia/Amman");
       await client.query("DISCARD ALL");
       expect((await client.query(sql)).rows[0].z).toEqual("UTC");
     });
--- a/test/isolation_test.ts
+++ b/test/isolation_test.ts
@@ -125,6 +125,7 @@
       ["BEGIN", "SET LOCAL search_path = 'pg_catalog'", "SELECT 1", "COMMIT"],
       ["BEGIN", "SET search_path = 'pg_catalog'", "ROLLBACK"],
       ["BEGIN", "SET search_path = 'pg_catalog'", "COMMIT"],
+      ["SET search_path = 'pg_catalog'", "DEALLOCATE ALL"],
       ["SELECT set_config('search_path', 'pg_catalog', false)"],
       ["SET search_path = 'pg_catalog'; SELECT 1"],
       [
