Clear the record of prepared statements whenever an upstream drops them

After DEALLOCATE ALL in a transaction, in a text that failed later, in a unit with other texts or in a request with an id, the pooled connection went on with a record of statements that it no longer had. Every later caller whose statement was on that record got 26000, prepared statement does not exist, for a statement that it had prepared, until the connection was closed.

The record was cleared only where the session's own state is kept: after a unit with a single text, outside a transaction and without an error. Dropping prepared statements is not transactional and an error does not bring them back.

Evidence: upstream_state_test, before: `The value ["marjoramshed_1"] is not equal to [], but it was expected to be equal` for `DEALLOCATE ALL; SELECT 1 / 0` and for DEALLOCATE ALL in a transaction.

The upstream's own command tag clears the record now, on every path that relays an answer. A Parse that the proxy answers itself no longer adds the statement to the record, which could hold it again after the tag.

--- a/src/plugins/callers/exchange.ts
+++ b/src/plugins/callers/exchange.ts
@@ -10,6 +10,7 @@
   BackendType,
   HEADER_BYTES,
   type Message,
+  readCString,
   readTransactionStatus,
   type TransactionStatus,
 } from "../wire/message.ts";
@@ -107,6 +108,9 @@
         index = findReadyAnswer(expectedAnswers, index);
         continue;
       }
+      if (message.type === BackendType.COMMAND_COMPLETE) {
+        this.#recordDiscard(message);
+      }
       if (isForwarded(message, expected, intercepted)) sink.push(message);
       if (!expected.endTypes.includes(message.type)) continue;
       if (message.type === BackendType.READY_FOR_QUERY) {
@@ -157,6 +161,14 @@
     this.connection.destroy();
   }
 
+  /** Clears the record of what the command has dropped, also in a transaction, which does not bring it back. */
+  #recordDiscard(message: Message): void {
+    const tag = readCString(message, HEADER_BYTES)?.text ?? "";
+    const { prepared, settings } = this.connection;
+    if (tag === "DEALLOCATE ALL" || tag === "DISCARD ALL") prepared.clear();
+    if (tag === "DISCARD ALL") settings.clear();
+  }
+
   async #next(sink?: AnswerSink): Promise<Message | undefined> {
     if (this.#index >= this.#queue.length) {
       await sink?.flush();
--- a/src/plugins/callers/transmission.ts
+++ b/src/plugins/callers/transmission.ts
@@ -126,9 +126,8 @@
     }
     const { name, statement } = parsed;
     this.#statementsInUnit.set(name, statement);
-    const onComplete = (): void => {
+    const recordStatement = (): void => {
       this.#statements.set(name, statement);
-      this.#prepared.add(statement.upstreamName);
     };
     if (name !== "" && this.#preparedOrSent.has(statement.upstreamName)) {
       const localAnswer = createBodylessMessage(BackendType.PARSE_COMPLETE);
@@ -136,7 +135,7 @@
         endTypes: [],
         forward: true,
         localAnswer,
-        onComplete,
+        onComplete: recordStatement,
       });
       return;
     }
@@ -144,7 +143,10 @@
     this.#send(statement.parse, {
       endTypes: END_TYPES.parse,
       forward: true,
-      onComplete,
+      onComplete: () => {
+        recordStatement();
+        this.#prepared.add(statement.upstreamName);
+      },
     });
   }
 
--- a/test/upstream_state_test.ts
+++ b/test/upstream_state_test.ts
@@ -51,9 +51,18 @@
   describe("of prepared statements", () => {
     const cases = [
       { text: "DEALLOCATE ALL", answer: createAnswer(["DEALLOCATE ALL"]) },
+      {
+        text: "DEALLOCATE ALL; SELECT 1 / 0",
+        answer: createAnswer(["DEALLOCATE ALL", "!22012"]),
+      },
+      {
+        text: "DEALLOCATE ALL",
+        answer: createAnswer(["DEALLOCATE ALL"], "T"),
+        where: " in a transaction",
+      },
     ];
-    for (const { text, answer } of cases) {
-      it(`is empty after ${text}`, async () => {
+    for (const { text, answer, where = "" } of cases) {
+      it(`is empty after ${text}${where}`, async () => {
         const upstream = createScriptedUpstream([answer]);
         upstream.connection.prepared.add("marjoramshed_1");
         await relay(upstream, new SessionState(), text);
