Don't take the preparing of a command for its execution

Drivers that prepare each statement first (Parse, Describe, Sync, then Bind, Execute, Sync) had commands take effect before they ran, or not at all:

- `DISCARD ALL` emptied the record of the pooled connection's prepared statements, which still existed: the next caller that prepared one of them got 42P05, already exists; the caller's own Bind got 26000.
- `BEGIN` with a request id wrote the id to the ledger at its Parse.
The real BEGIN then got MS408, "has run before", and the transaction never ran.
- `DEALLOCATE name` dropped the statement at its Parse and failed with 26000 when it ran.
- a SET that was only prepared was put on record as applied.

Cause: the plan gave the classification of a unit's only text as `single` whether or not the unit had an Execute, and everything that acts on a command reads `single`.

Evidence: plan_test, before: `The value { 13 entries } is not equal to undefined` for SET, DISCARD ALL and COMMIT, the same with 16 entries for BEGIN with an id, `The value "stock" is not equal to undefined` for a setting of the proxy, `The value false is not equal to true` for DEALLOCATE.

`single` now stands for the one text that a unit executes, and `prepared` for one that it only prepares: such a unit is answered by the proxy where its execution will be, and changes nothing.

--- a/src/plugins/callers/local_commands.ts
+++ b/src/plugins/callers/local_commands.ts
@@ -9,6 +9,7 @@
   type Failure,
   ResultCodes,
 } from "../../kernel/result_codes.ts";
+import type { Classification } from "../classification/classification.ts";
 import type { LocalAnswer } from "./local_answer.ts";
 import type { Plan } from "./plan.ts";
 import type { SessionState } from "./session_state.ts";
@@ -18,6 +19,7 @@
   plan: Plan,
   state: SessionState,
 ): LocalAnswer | Failure | undefined {
+  if (plan.prepared) return answerPreparing(plan.prepared);
   const single = plan.single;
   if (single?.proxySetting) {
     const set = state.set(single.proxySetting);
@@ -34,6 +36,17 @@
   return known ? { tag: "DEALLOCATE" } : undefined;
 }
 
+/** The answer to a unit that prepares or describes such a statement, which changes nothing yet. */
+function answerPreparing(
+  { proxySetting, shownSetting, deallocatedStatement }: Classification,
+): LocalAnswer | undefined {
+  if (proxySetting) return { tag: "SET" };
+  if (shownSetting !== undefined) {
+    return { tag: "SHOW", column: `marjoramshed.${shownSetting}` };
+  }
+  return deallocatedStatement === undefined ? undefined : { tag: "DEALLOCATE" };
+}
+
 function unknownSetting(name: string): Failure {
   return createFailure(
     ResultCodes.PROTOCOL_UNSUPPORTED,
--- a/src/plugins/callers/plan.ts
+++ b/src/plugins/callers/plan.ts
@@ -26,8 +26,10 @@
 /** Combined classification of a unit's statements. */
 export interface Plan {
   readonly effect: Effect;
-  /** Classification of the text if the unit has exactly one; transaction commands and proxy settings are handled only in this case. */
+  /** Classification of the text if the unit executes exactly one; transaction commands and proxy settings are handled only in this case. */
   readonly single?: Classification;
+  /** Classification of the text if the unit only prepares or describes exactly one. */
+  readonly prepared?: Classification;
   readonly mixedTransaction: boolean;
   readonly pinned: boolean;
   readonly unsupported: boolean;
@@ -49,16 +51,20 @@
 ): Plan {
   const texts = readTexts(unit, statements);
   const classifications = texts.map((text) => classifier.classify(text));
-  const single = classifications.length === 1 ? classifications[0] : undefined;
-  const hasHiddenTransaction = !single &&
+  const only = classifications.length === 1 ? classifications[0] : undefined;
+  const executed = executes(unit);
+  const hasHiddenTransaction = !only &&
     classifications.some((item) => item.transaction !== undefined);
   // A setting among other texts can't be replayed alone.
   const pinned =
     classifications.some((item) => item.sessionState === "pinned") ||
-    !single && executes(unit) && classifications.some(changesSession);
+    !only && executed && classifications.some(changesSession);
   return {
-    effect: effectOf(unit, classifications, pinned),
-    single,
+    effect: executed
+      ? effectOfExecuting(classifications, pinned)
+      : effectOfPreparing(classifications),
+    single: executed ? only : undefined,
+    prepared: executed ? undefined : only,
     mixedTransaction: hasHiddenTransaction ||
       classifications.some((item) => item.mixedTransaction),
     pinned,
@@ -77,12 +83,10 @@
   );
 }
 
-function effectOf(
-  unit: Unit,
+function effectOfExecuting(
   classifications: readonly Classification[],
   pinned: boolean,
 ): Effect {
-  if (!executes(unit)) return effectOfPreparing(classifications);
   if (pinned) return "write";
   return strongestEffect(classifications.map((item) => item.effect));
 }
--- a/src/plugins/callers/session.ts
+++ b/src/plugins/callers/session.ts
@@ -247,11 +247,11 @@
   }
 
   async #handleAfterLoss(unit: Unit, plan: Plan): Promise<void> {
-    const command = plan.single?.transaction;
+    const command = (plan.single ?? plan.prepared)?.transaction;
     if (command !== "rollback" && command !== "commit") {
       return await this.#refuse(unit, TRANSACTION_ABORTED);
     }
-    this.#transactionLost = false;
+    if (plan.single) this.#transactionLost = false;
     await this.#sendLocalAnswer(unit, { tag: "ROLLBACK" });
   }
 
--- a/test/plan_test.ts
+++ b/test/plan_test.ts
@@ -7,7 +7,10 @@
 import { before, describe, it } from "node:test";
 import { expect } from "earl";
 import { serialize } from "pg-protocol";
+import { answerLocally } from "../src/plugins/callers/local_commands.ts";
 import { createPlan, type Plan } from "../src/plugins/callers/plan.ts";
+import { SessionState } from "../src/plugins/callers/session_state.ts";
+import { readParse } from "../src/plugins/callers/statements.ts";
 import type { Unit } from "../src/plugins/callers/unit_reader.ts";
 import { GrammarClassifier } from "../src/plugins/classification/grammar_classifier.ts";
 import { splitMessages } from "../src/plugins/wire/message.ts";
@@ -57,6 +60,39 @@
     });
   });
 
+  describe("that only prepares its text", () => {
+    for (
+      const text of [
+        SETTING,
+        "DISCARD ALL",
+        "/* marjoramshed request=7 */ BEGIN",
+        "COMMIT",
+      ]
+    ) {
+      it(`is not taken for an execution of ${text}`, () => {
+        expect(plan(serialize.parse({ name: "a", text })).single)
+          .toEqual(undefined);
+      });
+    }
+
+    it("answers a setting of the proxy without applying it", () => {
+      const state = new SessionState();
+      const text = "SET marjoramshed.kind = 'stock'";
+      const answer = answerLocally(plan(serialize.parse({ text })), state);
+      expect(answer).toEqual({ tag: "SET" });
+      expect(state.kind).toEqual(undefined);
+    });
+
+    it("answers a DEALLOCATE without dropping the statement", () => {
+      const state = new SessionState();
+      const [parse] = splitMessages(serialize.parse({ name: "a", text: READ }));
+      state.statements.set("a", readParse(parse!)!.statement);
+      const prepared = plan(serialize.parse({ text: "DEALLOCATE a" }));
+      expect(answerLocally(prepared, state)).toEqual({ tag: "DEALLOCATE" });
+      expect(state.statements.has("a")).toEqual(true);
+    });
+  });
+
   it("keeps nothing for a setting alone, which is replayed", () => {
     const { pinned, single } = plan(executeText(SETTING));
     expect(pinned).toEqual(false);
