Reset a role of the startup packet before the next caller's statements

A caller that connects with `options=-c role=reader` (or the startup parameter `role` or `session_authorization`) left that role on the pooled connection: the next callers' statements ran with its rights, until the connection was closed.

A RESET ALL of the caller's own also cleared them from the record of the connection. A SET ROLE statement is not affected, since it keeps the connection.

The prelude resets both by name where the connection has them, and a RESET ALL leaves them on record as PostgreSQL leaves them in force.

--- a/src/plugins/callers/run.ts
+++ b/src/plugins/callers/run.ts
@@ -18,7 +18,11 @@
 import type { CallerOutput } from "./caller_output.ts";
 import type { Exchange, InternalAnswer, UpstreamError } from "./exchange.ts";
 import type { Plan } from "./plan.ts";
-import { createSettingsPrelude, type SessionState } from "./session_state.ts";
+import {
+  createSettingsPrelude,
+  replaySetting,
+  type SessionState,
+} from "./session_state.ts";
 import type { Unit } from "./unit_reader.ts";
 
 /** A unit to run, with its plan and the session and services that it needs. */
@@ -143,8 +147,7 @@
   }
   if (!single?.replayed) return;
   state.replay(single.replayed);
-  settings.clear();
-  for (const [name, text] of state.settings) settings.set(name, text);
+  replaySetting(settings, single.replayed);
 }
 
 /** Logs the instance that a write or a transaction runs on. */
--- a/src/plugins/callers/session_state.ts
+++ b/src/plugins/callers/session_state.ts
@@ -28,6 +28,9 @@
  */
 export const SESSION_RECHECK_MS = 10;
 
+/** Parameters of the startup packet that `RESET ALL` leaves as they are. */
+const KEPT_BY_RESET_ALL: readonly string[] = ["session_authorization", "role"];
+
 const REQUEST_ID = /^[\x21-\x7e]{1,200}$/;
 
 /** Position, settings, prepared statements and next request id of one caller's connection. */
@@ -104,12 +107,7 @@
 
   /** Records a setting to replay on the connections that run later statements. */
   replay(setting: ReplayedSetting): void {
-    if (setting.name === "all") return this.settings.clear();
-    if (setting.text === undefined) {
-      this.settings.delete(setting.name);
-      return;
-    }
-    this.settings.set(setting.name, setting.text);
+    replaySetting(this.settings, setting);
   }
 
   #setRequest(value: string): Result<void, Failure> {
@@ -153,6 +151,18 @@
   );
 }
 
+/** Applies a `SET` or `RESET` to a record of settings. */
+export function replaySetting(
+  settings: Map<string, string>,
+  { name, text }: ReplayedSetting,
+): void {
+  if (text !== undefined) return void settings.set(name, text);
+  if (name !== "all") return void settings.delete(name);
+  for (const present of settings.keys()) {
+    if (!KEPT_BY_RESET_ALL.includes(present)) settings.delete(present);
+  }
+}
+
 /** The statements that make a connection's settings equal to those of a session; undefined if they already are. */
 export function createSettingsPrelude(
   wanted: ReadonlyMap<string, string>,
@@ -161,6 +171,9 @@
   const same = wanted.size === present.size &&
     [...wanted].every(([name, text]) => present.get(name) === text);
   if (same) return undefined;
-  const reset = present.size > 0 ? ["RESET ALL"] : [];
+  const kept = KEPT_BY_RESET_ALL.filter((name) => present.has(name));
+  const reset = present.size > 0
+    ? ["RESET ALL", ...kept.map((name) => `RESET ${name}`)]
+    : [];
   return [...reset, ...wanted.values()].join("; ");
 }
--- a/test/upstream_state_test.ts
+++ b/test/upstream_state_test.ts
@@ -11,7 +11,10 @@
 import { Exchange } from "../src/plugins/callers/exchange.ts";
 import { createPlan } from "../src/plugins/callers/plan.ts";
 import { recordSessionState } from "../src/plugins/callers/run.ts";
-import { SessionState } from "../src/plugins/callers/session_state.ts";
+import {
+  createSettingsPrelude,
+  SessionState,
+} from "../src/plugins/callers/session_state.ts";
 import { GrammarClassifier } from "../src/plugins/classification/grammar_classifier.ts";
 import { createQuery, splitMessages } from "../src/plugins/wire/message.ts";
 import {
@@ -91,6 +94,19 @@
         .toEqual({ upstream: 1, session: 1 });
     });
 
+    it("keeps a role after RESET ALL, which leaves it in force", async () => {
+      const upstream = createScriptedUpstream([createAnswer(["RESET"])]);
+      const state = new SessionState();
+      const role = "SET role = 'reader'";
+      state.settings.set("role", role);
+      upstream.connection.settings.set("role", role);
+      await relay(upstream, state, "RESET ALL");
+      const { settings } = upstream.connection;
+      expect([...settings]).toEqual([["role", role]]);
+      const prelude = createSettingsPrelude(new Map(), settings);
+      expect(prelude).toEqual("RESET ALL; RESET role");
+    });
+
     it("is empty after DISCARD ALL", async () => {
       expect(await settingsAfter("DISCARD ALL"))
         .toEqual({ upstream: 0, session: 0 });
