Replay a list of the startup packet as a list

A caller that connects with `options=-c search_path=app,public` (or a driver's search path setting) got a session whose search path was the one schema "app,public", so that its tables were not found (42P01), or names were resolved elsewhere.

The startup parameters were replayed as `SET "search_path" = 'app,public'`, and SET takes a quoted text for one item of a list, while the startup packet takes it for the whole value.

Evidence: session_settings_test, before: `The value "\"pg_catalog,public\"" is not equal to "pg_catalog,public"`.

They are replayed with set_config, which reads a value as the startup packet does.

--- a/src/plugins/callers/startup_parameters.ts
+++ b/src/plugins/callers/startup_parameters.ts
@@ -33,9 +33,8 @@
   for (const [name, value] of parameters) {
     if (NOT_REPLAYED.has(name)) continue;
     if (!name.startsWith(PREFIX)) {
-      const setting = pg.escapeIdentifier(name.toLowerCase());
-      const text = `SET ${setting} = ${pg.escapeLiteral(value)}`;
-      state.settings.set(name.toLowerCase(), text);
+      const setting = name.toLowerCase();
+      state.settings.set(setting, createSetting(setting, value));
       continue;
     }
     const settingName = name.slice(PREFIX.length);
@@ -45,3 +44,9 @@
   }
   return undefined;
 }
+
+/** The statement for a startup parameter. SET would take a list such as that of search_path for one item. */
+function createSetting(name: string, value: string): string {
+  const values = [name, value].map((item) => pg.escapeLiteral(item));
+  return `SELECT pg_catalog.set_config(${values.join(", ")}, false)`;
+}
--- /dev/null
+++ b/test/session_settings_test.ts
@@ -0,0 +1,54 @@
+/**
+ * Tests of the settings that callers bring along in the startup packet, with real
+ * processes.
+ *
+ * @module
+ */
+import { after, before, describe, it } from "node:test";
+import { expect } from "earl";
+import type pg from "pg";
+import { createStack, type Stack } from "../standins/stack/stack.ts";
+import { connectCaller } from "./support/callers.ts";
+
+const DATABASE = "booking";
+const ZONE = "Asia/Tokyo";
+
+describe("settings of the startup packet", () => {
+  let running: Stack;
+
+  before(async () => {
+    running = await createStack({
+      databases: [DATABASE],
+      proxies: 1,
+      logLevel: "warn",
+    });
+  });
+  after(() => running?.stop());
+
+  /** Connects with the startup options, lets `use` run, and ends the connection. */
+  async function withCaller<T>(
+    options: string,
+    use: (client: pg.Client) => Promise<T>,
+  ): Promise<T> {
+    const stack = running.describe();
+    const client = await connectCaller({ stack, database: DATABASE, options });
+    try {
+      return await use(client);
+    } finally {
+      await client.end();
+    }
+  }
+
+  async function show(client: pg.Client, name: string): Promise<string> {
+    const { rows } = await client.query(`SHOW ${name}`);
+    return Object.values(rows[0] as Record<string, string>)[0]!;
+  }
+
+  it("keep the items of a list apart", async () => {
+    const path = await withCaller(
+      "-c search_path=pg_catalog,public",
+      (client) => show(client, "search_path"),
+    );
+    expect(path).toEqual("pg_catalog,public");
+  });
+});
