Return to the startup packet's settings after RESET and DISCARD ALL

A caller that connects with settings (`options=-c search_path=tenant`, a time zone) and sends RESET, RESET ALL or DISCARD ALL, as connection pools in drivers do between two users, went on with the settings of the upstream connection: its statements ran in another schema or time zone than it had asked for.

PostgreSQL resets a parameter to the value of the session's start. The proxy replays the startup packet's settings like SETs of the session and forgot them at a reset.

The session keeps the startup settings apart and a reset puts them back into what is replayed. Not covered: a reset inside a transaction, or on a connection that the session keeps for another reason.

--- a/src/plugins/callers/run.ts
+++ b/src/plugins/callers/run.ts
@@ -143,7 +143,7 @@
   }
   if (single?.resetsSettings) {
     settings.clear();
-    state.settings.clear();
+    state.discardSettings();
   }
   if (!single?.replayed) return;
   state.replay(single.replayed);
--- a/src/plugins/callers/session_state.ts
+++ b/src/plugins/callers/session_state.ts
@@ -43,6 +43,7 @@
   requestId: string | undefined;
   readonly statements = new Map<string, PreparedStatement>();
   readonly settings = new Map<string, string>();
+  readonly #startupSettings = new Map<string, string>();
   /** Time of the last acknowledged write on this connection, in monotonic ms. */
   lastWriteAt = -Infinity;
   #position: Position | undefined;
@@ -108,6 +109,25 @@
   /** Records a setting to replay on the connections that run later statements. */
   replay(setting: ReplayedSetting): void {
     replaySetting(this.settings, setting);
+    if (setting.text !== undefined) return;
+    for (const [name, text] of this.#startupSettings) {
+      if (setting.name !== "all" && setting.name !== name) continue;
+      if (!this.settings.has(name)) this.settings.set(name, text);
+    }
+  }
+
+  /** Records a setting of the startup packet, which a RESET returns to. */
+  addStartupSetting(name: string, text: string): void {
+    this.#startupSettings.set(name, text);
+    this.settings.set(name, text);
+  }
+
+  /** Returns all settings to those of the startup packet, as DISCARD ALL does. */
+  discardSettings(): void {
+    this.settings.clear();
+    for (const [name, text] of this.#startupSettings) {
+      this.settings.set(name, text);
+    }
   }
 
   #setRequest(value: string): Result<void, Failure> {
--- a/src/plugins/callers/startup_parameters.ts
+++ b/src/plugins/callers/startup_parameters.ts
@@ -34,7 +34,7 @@
     if (NOT_REPLAYED.has(name)) continue;
     if (!name.startsWith(PREFIX)) {
       const setting = name.toLowerCase();
-      state.settings.set(setting, createSetting(setting, value));
+      state.addStartupSetting(setting, createSetting(setting, value));
       continue;
     }
     const settingName = name.slice(PREFIX.length);
--- a/test/session_settings_test.ts
+++ b/test/session_settings_test.ts
@@ -51,4 +51,26 @@
     );
     expect(path).toEqual("pg_catalog,public");
   });
+
+  for (
+    const text of [
+      "RESET TimeZone",
+      "SET TimeZone TO DEFAULT",
+      "RESET ALL",
+      "DISCARD ALL",
+    ]
+  ) {
+    it(`are in force again after ${text}`, async () => {
+      const zones = await withCaller(`-c TimeZone=${ZONE}`, async (client) => {
+        const first = await show(client, "TimeZone");
+        await client.query("SET TimeZone = 'Europe/Zagreb'");
+        const changed = await show(client, "TimeZone");
+        await client.query(text);
+        return [first, changed, await show(client, "TimeZone")];
+      });
+      expect(zones).toEqual([ZONE, "Europe/Zagreb", ZONE]);
+      const other = await withCaller("", (client) => show(client, "TimeZone"));
+      expect(other).toEqual("UTC");
+    });
+  }
 });
