Refuse a statement at once whose session setting the upstream refuses

A caller that connects with a parameter that the upstream does not know or accept (`options=-c nosuch=1`, a role it may not take) got 53300 for each statement, 5 s later. Until then the proxy opened a connection after another and closed it, and reported each instance to the failure detection as failing; a request with an id lost a pooled connection at each attempt for good.

The startup packet's settings are first seen by an upstream in the prelude of a statement, and a refused prelude was taken for an instance that is not ready: written off, reported and tried again until the deadline.

Evidence: session_settings_test, before: `The value "53300" is not equal to "42704"` after 5,020 ms for a read; it takes less than 500 ms now, for a read and a write.

An error in the prelude is the upstream's answer: the statement fails with its SQLSTATE and "Not run", and the connection, whose settings the error has rolled back, goes back to the pool. A read that a replica refuses so is tried elsewhere as before, without a report, and ends at the primary's refusal.

--- a/src/plugins/callers/ledger_run.ts
+++ b/src/plugins/callers/ledger_run.ts
@@ -77,9 +77,15 @@
   const opened = await openPrimaryExchange(run);
   if (opened.isErr()) return { kind: "failed", failure: opened.error };
   const { exchange, instance } = opened.value;
-  const attempt = await applySettings(exchange, state)
+  const ready = await applySettings(exchange, state);
+  if (ready.isErr()) {
+    run.track(undefined);
+    exchange.finish(true);
+    return { kind: "failed", failure: ready.error };
+  }
+  const attempt = ready.value
     ? await runInLedger(run, id, exchange, instance)
-    : notRun(run);
+    : closeAsNotRun(run, exchange);
   if (attempt.kind === "unknown" || attempt.kind === "not run") {
     context.health.reportFailure(group.database, instance);
   }
--- a/src/plugins/callers/read_run.ts
+++ b/src/plugins/callers/read_run.ts
@@ -25,7 +25,12 @@
 } from "./run.ts";
 import type { Choice } from "../routing/routing.ts";
 
-type Attempt = RunResult | { readonly kind: "repeat"; readonly reason: string };
+type Attempt = RunResult | {
+  readonly kind: "repeat";
+  readonly reason: string;
+  /** Set if the instance answered that it refuses a setting of the session. */
+  readonly refusal?: Failure;
+};
 
 /** Runs a read, or a BEGIN of a read-only transaction. */
 export async function runRead(run: Run): Promise<RunResult> {
@@ -37,7 +42,13 @@
     if (attempt.kind !== "repeat") return attempt;
     const { instance } = choice;
     excluded.add(instance);
-    run.context.health.reportFailure(run.group.database, instance);
+    const { refusal } = attempt;
+    if (refusal && choice.target === "primary") {
+      return { kind: "failed", failure: refusal };
+    }
+    if (!refusal) {
+      run.context.health.reportFailure(run.group.database, instance);
+    }
     run.context.log.write(Events.READ_REPEATED, {
       session: run.identity.id,
       database: run.group.database,
@@ -87,9 +98,16 @@
   if (acquired.isErr()) return resultOfAcquireFailure(acquired.error);
   run.track(acquired.value);
   const exchange = new Exchange(acquired.value);
-  if (!await applySettings(exchange, run.state)) {
+  const ready = await applySettings(exchange, run.state);
+  if (ready.isErr()) {
+    run.track(undefined);
+    exchange.finish(true);
+    const { message } = ready.error;
+    return { kind: "repeat", reason: message, refusal: ready.error };
+  }
+  if (!ready.value) {
     exchange.finish(false);
-    return { kind: "repeat", reason: "settings were not accepted" };
+    return { kind: "repeat", reason: "connection lost" };
   }
   const startedAt = clock.now();
   const sink = new DirectSink(output);
--- a/src/plugins/callers/run.ts
+++ b/src/plugins/callers/run.ts
@@ -3,8 +3,13 @@
  *
  * @module
  */
+import { err, ok, type Result } from "neverthrow";
 import { Events } from "../../kernel/events.ts";
-import type { Failure } from "../../kernel/result_codes.ts";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
 import type { UpstreamConnection } from "../connections/connections.ts";
 import type { Group } from "../document/document.ts";
 import { formatPosition, type Position } from "../upstream/position.ts";
@@ -114,19 +119,27 @@
   return await exchange.readInternalAnswer();
 }
 
-/** Makes the connection's settings equal to those of the session; false if that failed. */
+/** Makes the connection's settings equal to those of the session; false if the connection was lost, and a failure if the upstream refused one, which leaves the connection as it was. */
 export async function applySettings(
   exchange: Exchange,
   state: SessionState,
-): Promise<boolean> {
+): Promise<Result<boolean, Failure>> {
   const present = exchange.connection.settings;
   const prelude = createSettingsPrelude(state.settings, present);
-  if (prelude === undefined) return true;
-  const answer = await runInternalQuery(exchange, prelude);
-  if (answer.lost || answer.error) return false;
+  if (prelude === undefined) return ok(true);
+  const { lost, error } = await runInternalQuery(exchange, prelude);
+  if (lost || error && isUpstreamStop(error)) return ok(false);
+  if (error) return err(settingRefused(error));
   present.clear();
   for (const [name, text] of state.settings) present.set(name, text);
-  return true;
+  return ok(true);
+}
+
+function settingRefused({ sqlState, message }: UpstreamError): Failure {
+  return createFailure(
+    { ...ResultCodes.UPSTREAM_REFUSED, sqlState },
+    `a setting of the session was refused: ${message}`,
+  );
 }
 
 /** Records the changes that a successful unit made to the state of the session and the connection. */
--- a/src/plugins/callers/transaction_request.ts
+++ b/src/plugins/callers/transaction_request.ts
@@ -41,8 +41,14 @@
       next: run.next,
       trailingQueries: [],
     }, sink);
-  const ready = await applySettings(exchange, state) && !(await begin()).lost;
-  const insertAnswer = ready
+  const ready = await applySettings(exchange, state);
+  if (ready.isErr()) {
+    run.track(undefined);
+    exchange.finish(true);
+    return { kind: "failed", failure: ready.error };
+  }
+  const begun = ready.value && !(await begin()).lost;
+  const insertAnswer = begun
     ? await insertRequestId(run, id, exchange)
     : undefined;
   if (!insertAnswer || insertAnswer.lost || insertAnswer.error) {
--- a/src/plugins/callers/write_run.ts
+++ b/src/plugins/callers/write_run.ts
@@ -48,7 +48,11 @@
   if (opened.isErr()) return { kind: "failed", failure: opened.error };
   const { exchange, instance } = opened.value;
   const ready = await applySettings(exchange, state);
-  if (!ready || exchange.lost) {
+  if (ready.isErr()) {
+    releaseConnection(run, exchange);
+    return { kind: "failed", failure: ready.error };
+  }
+  if (!ready.value || exchange.lost) {
     exchange.finish(false);
     return { kind: "not run" };
   }
--- a/test/session_settings_test.ts
+++ b/test/session_settings_test.ts
@@ -8,9 +8,11 @@
 import { expect } from "earl";
 import type pg from "pg";
 import { createStack, type Stack } from "../standins/stack/stack.ts";
-import { connectCaller } from "./support/callers.ts";
+import { connectCaller, failureOf } from "./support/callers.ts";
 
 const DATABASE = "booking";
+/** A refused statement waits for nothing. */
+const ANSWER_LIMIT_MS = 500;
 const ZONE = "Asia/Tokyo";
 
 describe("settings of the startup packet", () => {
@@ -73,4 +75,17 @@
       expect(other).toEqual("UTC");
     });
   }
+
+  it("that the upstream does not accept fail each statement at once with its error", async () => {
+    await withCaller("-c nosuch=1", async (client) => {
+      for (const text of ["SELECT 1", "CREATE TABLE notes (n int)"]) {
+        const startedAt = performance.now();
+        const error = await failureOf(client.query(text));
+        expect(error.code).toEqual("42704");
+        expect(error.message).toInclude("unrecognized configuration parameter");
+        const elapsed = performance.now() - startedAt;
+        expect(elapsed < ANSWER_LIMIT_MS).toEqual(true);
+      }
+    });
+  });
 });
