Name prepared statements after the settings they are read with, too

Two callers with different settings that prepare the same text shared one prepared statement on an upstream connection, read with the settings of whoever came first: a caller in Asia/Tokyo that asked for rows at '2024-01-01 00:00' got those of midnight UTC. With search paths that lead to different tables it got 0A000, cached plan must not change result type.

The name on the upstream was built from the text and the types alone. The upstream reads literals and names with the settings in force at the Parse and keeps the result (TimeZone, DateStyle, client_encoding and so on), so these are part of what the name stands for.

The name is now derived, for the connection on which it is used, from the text, the types and those of the connection's settings that an upstream applies when it reads a text. Sessions without such settings keep the names of before. Not covered: SET LOCAL in a transaction.

--- a/src/plugins/callers/batch.ts
+++ b/src/plugins/callers/batch.ts
@@ -32,8 +32,8 @@
   let unit = batch.unit;
   let firstError: AnswerResult["error"];
   for (;;) {
-    const { prepared } = exchange.connection;
-    const transmission = createTransmission(unit, state.statements, prepared);
+    const { connection } = exchange;
+    const transmission = createTransmission(unit, state.statements, connection);
     const isLast = unit.end !== "flush";
     const trailingQueries = isLast ? batch.trailingQueries : [];
     const readyCount = isLast ? 1 + trailingQueries.length : 0;
--- a/src/plugins/callers/statements.ts
+++ b/src/plugins/callers/statements.ts
@@ -1,6 +1,7 @@
 /**
  * A caller's prepared statements. They are prepared on each upstream connection
- * that runs them, under a name derived from a hash of their text and types.
+ * that runs them, under a name derived from a hash of their text and types, and
+ * of the settings with which the upstream reads these.
  *
  * @module
  */
@@ -20,6 +21,8 @@
   readonly upstreamName: string;
   /** The Parse message with the upstream name. */
   readonly parse: Message;
+  /** The part of the Parse message after the name. */
+  readonly content: Buffer;
 }
 
 /** Statement of a Parse message, with the name that the caller gave it. */
@@ -31,6 +34,22 @@
 const NAME_PREFIX = "marjoramshed_";
 const NAME_DIGITS = 24;
 
+/** Parameters that an upstream applies when it reads a text, so that a prepared statement keeps their values. */
+const READING_PARAMETERS: ReadonlySet<string> = new Set([
+  "array_nulls",
+  "backslash_quote",
+  "client_encoding",
+  "datestyle",
+  "intervalstyle",
+  "lc_monetary",
+  "search_path",
+  "standard_conforming_strings",
+  "timezone",
+  "timezone_abbreviations",
+  "transform_null_equals",
+  "xmloption",
+]);
+
 /** Reads a Parse message; undefined when it is malformed. */
 export function readParse(message: Message): ParsedStatement | undefined {
   const name = readCString(message, HEADER_BYTES);
@@ -44,10 +63,32 @@
     : withName(FrontendType.PARSE, upstreamName, tail);
   return {
     name: name.text,
-    statement: { text: text.text, upstreamName, parse },
+    statement: { text: text.text, upstreamName, parse, content: tail },
   };
 }
 
+/** Identifies the settings with which an upstream reads texts; empty for the defaults. */
+export function createReadingKey(
+  settings: ReadonlyMap<string, string>,
+): string {
+  return [...settings]
+    .filter(([name]) => READING_PARAMETERS.has(name))
+    .map(([name, text]) => `${name}\0${text}\0`)
+    .sort().join("");
+}
+
+/** The statement as it is prepared on a connection with the settings of the key. */
+export function underSettings(
+  statement: PreparedStatement,
+  readingKey: string,
+): PreparedStatement {
+  const { content } = statement;
+  if (statement.upstreamName === "" || readingKey === "") return statement;
+  const upstreamName = createUpstreamName(content, readingKey);
+  const parse = withName(FrontendType.PARSE, upstreamName, content);
+  return { ...statement, upstreamName, parse };
+}
+
 /** Reads the statement name of a Bind message, with the offsets after the portal name and after it; undefined when the message is malformed. */
 export function readBind(
   message: Message,
@@ -87,8 +128,10 @@
   return createMessage(FrontendType.DESCRIBE, Buffer.from(`S${name}\0`));
 }
 
-function createUpstreamName(tail: Buffer): string {
-  const digest = createHash("sha256").update(tail).digest("hex");
+/** A content ends with its types and a key begins with a name of a parameter, so that no two pairs are joined to the same bytes. */
+function createUpstreamName(content: Buffer, readingKey = ""): string {
+  const hash = createHash("sha256").update(content).update(readingKey);
+  const digest = hash.digest("hex");
   return NAME_PREFIX + digest.slice(0, NAME_DIGITS);
 }
 
--- a/src/plugins/callers/transmission.ts
+++ b/src/plugins/callers/transmission.ts
@@ -10,14 +10,17 @@
   FrontendType,
   type Message,
 } from "../wire/message.ts";
+import type { UpstreamConnection } from "../connections/connections.ts";
 import type { Unit } from "./unit_reader.ts";
 import {
+  createReadingKey,
   type PreparedStatement,
   readBind,
   readParse,
   readTarget,
   renameBind,
   renameDescribe,
+  underSettings,
 } from "./statements.ts";
 
 /** The expected answer to one message. */
@@ -61,11 +64,11 @@
   forward: false,
 };
 
-/** Creates the transmission of a unit for a connection on which the statements named in `prepared` exist. */
+/** Creates the transmission of a unit for a connection with these prepared statements and settings. */
 export function createTransmission(
   unit: Unit,
   statements: Map<string, PreparedStatement>,
-  prepared: Set<string>,
+  { prepared, settings }: Pick<UpstreamConnection, "prepared" | "settings">,
 ): Transmission {
   if (unit.end === "query") {
     return {
@@ -74,7 +77,12 @@
     };
   }
   const ready = unit.hidesReady ? HIDDEN_READY_ANSWER : READY_ANSWER;
-  const builder = new TransmissionBuilder(statements, prepared, ready);
+  const builder = new TransmissionBuilder(
+    statements,
+    prepared,
+    createReadingKey(settings),
+    ready,
+  );
   for (const message of unit.messages) builder.add(message);
   return { data: builder.data, expectedAnswers: builder.expectedAnswers };
 }
@@ -86,13 +94,16 @@
   readonly #prepared: Set<string>;
   readonly #statementsInUnit: Map<string, PreparedStatement>;
   readonly #preparedOrSent: Set<string>;
+  readonly #readingKey: string;
   readonly #ready: ExpectedAnswer;
 
   constructor(
     statements: Map<string, PreparedStatement>,
     prepared: Set<string>,
+    readingKey: string,
     ready: ExpectedAnswer,
   ) {
+    this.#readingKey = readingKey;
     this.#ready = ready;
     this.#statements = statements;
     this.#prepared = prepared;
@@ -125,11 +136,12 @@
       return this.#send(message, { endTypes: END_TYPES.parse, forward: true });
     }
     const { name, statement } = parsed;
+    const { upstreamName, parse } = underSettings(statement, this.#readingKey);
     this.#statementsInUnit.set(name, statement);
     const recordStatement = (): void => {
       this.#statements.set(name, statement);
     };
-    if (name !== "" && this.#preparedOrSent.has(statement.upstreamName)) {
+    if (name !== "" && this.#preparedOrSent.has(upstreamName)) {
       const localAnswer = createBodylessMessage(BackendType.PARSE_COMPLETE);
       this.expectedAnswers.push({
         endTypes: [],
@@ -139,13 +151,13 @@
       });
       return;
     }
-    this.#preparedOrSent.add(statement.upstreamName);
-    this.#send(statement.parse, {
+    this.#preparedOrSent.add(upstreamName);
+    this.#send(parse, {
       endTypes: END_TYPES.parse,
       forward: true,
       onComplete: () => {
         recordStatement();
-        this.#prepared.add(statement.upstreamName);
+        this.#prepared.add(upstreamName);
       },
     });
   }
@@ -158,9 +170,9 @@
     const bind = readBind(message);
     const statement = bind && this.#statementsInUnit.get(bind.name);
     if (!statement) return this.#send(message, expected);
-    this.#prepare(statement);
-    if (statement.upstreamName === "") return this.#send(message, expected);
-    this.#send(renameBind(message, statement.upstreamName), expected);
+    const name = this.#prepare(statement);
+    if (name === "") return this.#send(message, expected);
+    this.#send(renameBind(message, name), expected);
   }
 
   #describe(message: Message): void {
@@ -173,9 +185,9 @@
       ? this.#statementsInUnit.get(target.name)
       : undefined;
     if (!statement) return this.#send(message, expected);
-    this.#prepare(statement);
-    if (statement.upstreamName === "") return this.#send(message, expected);
-    this.#send(renameDescribe(statement.upstreamName), expected);
+    const name = this.#prepare(statement);
+    if (name === "") return this.#send(message, expected);
+    this.#send(renameDescribe(name), expected);
   }
 
   #close(message: Message): void {
@@ -194,16 +206,20 @@
     });
   }
 
-  /** Prepares a caller's statement if it is not prepared on this connection yet. */
-  #prepare(statement: PreparedStatement): void {
-    const name = statement.upstreamName;
-    if (this.#preparedOrSent.has(name)) return;
+  /** Prepares a caller's statement if it is not prepared on this connection yet; returns its name there. */
+  #prepare(statement: PreparedStatement): string {
+    const { upstreamName: name, parse } = underSettings(
+      statement,
+      this.#readingKey,
+    );
+    if (this.#preparedOrSent.has(name)) return name;
     this.#preparedOrSent.add(name);
-    this.#send(statement.parse, {
+    this.#send(parse, {
       endTypes: END_TYPES.parse,
       forward: false,
       onComplete: () => void this.#prepared.add(name),
     });
+    return name;
   }
 
   #send(message: Message, expected: ExpectedAnswer): void {
--- a/test/session_settings_test.ts
+++ b/test/session_settings_test.ts
@@ -14,6 +14,8 @@
 /** A refused statement waits for nothing. */
 const ANSWER_LIMIT_MS = 500;
 const ZONE = "Asia/Tokyo";
+const ZONE_OFFSET_S = 9 * 3_600;
+const UTC_MIDNIGHT = Date.UTC(2024, 0, 1) / 1_000;
 
 describe("settings of the startup packet", () => {
   let running: Stack;
@@ -88,4 +90,26 @@
       }
     });
   });
+
+  it("decide how the session's prepared statements are read", async () => {
+    const query = {
+      name: "midnight",
+      text:
+        "SELECT extract(epoch FROM timestamptz '2024-01-01 00:00')::int AS at",
+    };
+    const found = new Map<string, Set<number>>();
+    for (let round = 0; round < 4; round += 1) {
+      for (const zone of ["UTC", ZONE]) {
+        const at = await withCaller(
+          `-c TimeZone=${zone}`,
+          async (client) => (await client.query(query)).rows[0].at,
+        );
+        found.set(zone, (found.get(zone) ?? new Set()).add(at));
+      }
+    }
+    expect([...found]).toEqual([
+      ["UTC", new Set([UTC_MIDNIGHT])],
+      [ZONE, new Set([UTC_MIDNIGHT - ZONE_OFFSET_S])],
+    ]);
+  });
 });
