Take a request's leading comments off where the grammar ends them

Of two statements with the same request id after a line comment that ends at a carriage return (`-- marjoramshed request=7\rINSERT ...`), the second got the answer of the first although it never ran: an acknowledged write that was lost. And a statement with a nested comment before it could not be repeated with another position: it got MS407, used for another request.

The fingerprint of a request skips its leading comments with a pattern of its own, for which a line comment ended only at a line feed, so that the whole statement counted as the comment, and a block comment at the first end of one. The classifier reads the comments as PostgreSQL does.

Evidence: request_ids_test, before: `Error: expected the promise to reject, but it resolved` for the carriage return, MS407 for the nested comment.

The fingerprint uses the classifier's reading. Fingerprints of texts without these two forms stay as they are, so proxies of both versions agree on them during an update.

--- a/src/plugins/callers/ledger_run.ts
+++ b/src/plugins/callers/ledger_run.ts
@@ -12,6 +12,7 @@
   type Failure,
   ResultCodes,
 } from "../../kernel/result_codes.ts";
+import { readLeadingComment } from "../classification/leading_comment.ts";
 import {
   BackendType,
   createQuery,
@@ -43,8 +44,6 @@
 /** Pause before another attempt at a request that did not run or has an unknown outcome. */
 const RETRY_PAUSE_MS = 20;
 
-const LEADING_COMMENT = /^(\s*(\/\*[\s\S]*?\*\/|--[^\n]*(\n|$)))*\s*/;
-
 type Attempt =
   | RunResult
   /** The request did not run. */
@@ -237,7 +236,9 @@
 
 function fingerprintOf(run: Run): string {
   // Leading comments are ignored, because they may contain the id or a position.
-  const texts = run.plan.texts.map((text) => text.replace(LEADING_COMMENT, ""));
+  const texts = run.plan.texts.map((text) =>
+    text.slice(readLeadingComment(text).end)
+  );
   const parameters = run.unit.messages
     .filter((item) => item.type === FrontendType.BIND)
     .map((item) => item.data.subarray(readBind(item)?.end ?? 0));
--- /dev/null
+++ b/test/request_ids_test.ts
@@ -0,0 +1,62 @@
+/**
+ * Tests of what else could stand for a request's id, or be taken for the request,
+ * with real processes.
+ *
+ * @module
+ */
+import { after, before, describe, it } from "node:test";
+import { expect } from "earl";
+import type pg from "pg";
+import { createStack, type Stack } from "../standins/stack/stack.ts";
+import { connectCaller, failureOf } from "./support/callers.ts";
+
+const DATABASE = "booking";
+
+describe("request ids", () => {
+  let running: Stack;
+  let client: pg.Client;
+
+  before(async () => {
+    running = await createStack({
+      databases: [DATABASE],
+      proxies: 1,
+      logLevel: "warn",
+    });
+    client = await connect();
+    await client.query("CREATE TABLE notes (text text)");
+  });
+  after(async () => {
+    await client?.end();
+    await running?.stop();
+  });
+
+  function connect(): Promise<pg.Client> {
+    return connectCaller({ stack: running.describe(), database: DATABASE });
+  }
+
+  async function notes(): Promise<readonly string[]> {
+    const { rows } = await client.query("SELECT text FROM notes ORDER BY text");
+    return rows.map((row) => row.text as string);
+  }
+
+  describe("of a statement", () => {
+    it("tell statements apart after a comment that ends at a carriage return", async () => {
+      const insert = (text: string) =>
+        `-- marjoramshed request=line\rINSERT INTO notes VALUES ('${text}')`;
+      await client.query(insert("line 1"));
+      const error = await failureOf(client.query(insert("line 2")));
+      expect(error.code).toEqual("MS407");
+      expect((await notes()).filter((text) => text.startsWith("line")))
+        .toEqual(["line 1"]);
+    });
+
+    it("don't depend on a nested comment", async () => {
+      const insert = (position: string) =>
+        `/* marjoramshed request=nested /* */ position=${position} */ INSERT INTO notes VALUES ('nested')`;
+      await client.query(insert("0/1"));
+      await client.query(insert("0/2"));
+      expect((await notes()).filter((text) => text === "nested"))
+        .toEqual(["nested"]);
+    });
+  });
+});
