Say so when a transaction's request id was used by a statement

A BEGIN under an id that a single statement had used before got MS408, "has run before", so the caller took its transaction for committed although it never ran.

The BEGIN was refused by the ledger's key alone; what the id stands for was compared only for statements.

Evidence: request_ids_test, before: `The value "MS408" is not equal to "MS407"`.

The stored fingerprint is looked up: MS408 only if it is that of a transaction, otherwise MS407, used for another request, as docs/callers.md promises.

--- a/src/plugins/callers/ledger_run.ts
+++ b/src/plugins/callers/ledger_run.ts
@@ -259,7 +259,8 @@
   };
 }
 
-function requestIdReused(id: string): Failure {
+/** The failure for an id that stands for a different request. */
+export function requestIdReused(id: string): Failure {
   return createFailure(
     ResultCodes.REQUEST_ID_REUSED,
     `request id ${id} was used for another request`,
--- a/src/plugins/callers/transaction_request.ts
+++ b/src/plugins/callers/transaction_request.ts
@@ -10,10 +10,11 @@
   type Failure,
   ResultCodes,
 } from "../../kernel/result_codes.ts";
+import { createQuery } from "../wire/message.ts";
 import { relayBatch } from "./batch.ts";
 import { BufferedSink } from "./caller_output.ts";
 import { Exchange, type InternalAnswer } from "./exchange.ts";
-import { requestDone } from "./ledger_run.ts";
+import { requestDone, requestIdReused } from "./ledger_run.ts";
 import { openPrimaryExchange } from "./primary_exchange.ts";
 import {
   applySettings,
@@ -111,7 +112,12 @@
   }
   // The request is reported as done only once a majority has the earlier transaction.
   await runInternalQuery(exchange, "ROLLBACK");
-  exchange.send([POSITION_QUERY], 1);
-  const position = await readPosition(exchange);
-  return await acknowledge(run, position, instance) ?? requestDone(id);
+  exchange.send([createQuery(ledger.lookupText(id)), POSITION_QUERY], 2);
+  const { rows, lost } = await exchange.readInternalAnswer();
+  const position = lost ? undefined : await readPosition(exchange);
+  const failure = await acknowledge(run, position, instance);
+  if (failure) return failure;
+  const stored = rows[0] && ledger.readRow(rows[0]);
+  const reused = stored && stored.fingerprint !== TRANSACTION_FINGERPRINT;
+  return reused ? requestIdReused(id) : requestDone(id);
 }
--- a/test/request_ids_test.ts
+++ b/test/request_ids_test.ts
@@ -39,6 +39,15 @@
     return rows.map((row) => row.text as string);
   }
 
+  describe("of a transaction", () => {
+    it("don't count as done when a statement has used them", async () => {
+      const comment = "/* marjoramshed request=shared */";
+      await client.query(`${comment} INSERT INTO notes VALUES ('shared')`);
+      const error = await failureOf(client.query(`${comment} BEGIN`));
+      expect(error.code).toEqual("MS407");
+    });
+  });
+
   describe("of a statement", () => {
     it("tell statements apart after a comment that ends at a carriage return", async () => {
       const insert = (text: string) =>
