Keep the options of the first BEGIN with a request id in a database

The first transaction with a request id in a database without the ledger's table ran at the default isolation level whatever its BEGIN asked for: a serializable or repeatable-read transaction silently ran as read committed, a read-only one could write.

To create the table the proxy rolled the caller's transaction back and began another with a plain BEGIN.

Evidence: request_ids_test, before: `The value [{ 1 entry }] is not equal to [{ 1 entry }]` (SHOW transaction_isolation after BEGIN ISOLATION LEVEL REPEATABLE READ).

The caller's own BEGIN is sent again. The id is inserted only if the upstream says that a transaction is open: after a BEGIN that failed, it would have been committed by itself and have refused the caller's next try.

--- a/src/plugins/callers/transaction_request.ts
+++ b/src/plugins/callers/transaction_request.ts
@@ -36,21 +36,14 @@
   if (opened.isErr()) return { kind: "failed", failure: opened.error };
   const { exchange, instance } = opened.value;
   const sink = new BufferedSink(MAX_BEGIN_ANSWER_BYTES);
-  const begin = (): ReturnType<typeof relayBatch> =>
-    relayBatch(exchange, state, {
-      unit: run.unit,
-      next: run.next,
-      trailingQueries: [],
-    }, sink);
   const ready = await applySettings(exchange, state);
   if (ready.isErr()) {
     run.track(undefined);
     exchange.finish(true);
     return { kind: "failed", failure: ready.error };
   }
-  const begun = ready.value && !(await begin()).lost;
-  const insertAnswer = begun
-    ? await insertRequestId(run, id, exchange)
+  const insertAnswer = ready.value
+    ? await insertRequestId(run, id, exchange, sink)
     : undefined;
   if (!insertAnswer || insertAnswer.lost || insertAnswer.error) {
     const failure = await createRefusal(
@@ -75,26 +68,38 @@
   return { kind: "held", held };
 }
 
-/** Inserts the id; creates the ledger's table first if it does not exist. */
+/** Begins the transaction as the caller asked for it, and inserts the id unless that failed. */
+async function beginAndInsert(
+  run: Run,
+  id: string,
+  exchange: Exchange,
+  sink: BufferedSink,
+): Promise<InternalAnswer> {
+  const { unit, next } = run;
+  const batch = { unit, next, trailingQueries: [] };
+  const begun = await relayBatch(exchange, run.state, batch, sink);
+  if (begun.status !== "T") return { ...begun, rows: [], lost: true };
+  const { ledger } = run.context;
+  const text = ledger.insertText(id, TRANSACTION_FINGERPRINT);
+  return await runInternalQuery(exchange, text);
+}
+
+/** Begins the transaction with its id in the ledger; creates the ledger's table first if it does not exist. */
 async function insertRequestId(
   run: Run,
   id: string,
   exchange: Exchange,
+  sink: BufferedSink,
 ): Promise<InternalAnswer> {
   const { ledger } = run.context;
-  const answer = await runInternalQuery(
-    exchange,
-    ledger.insertText(id, TRANSACTION_FINGERPRINT),
-  );
+  const answer = await beginAndInsert(run, id, exchange, sink);
   if (!answer.error || !ledger.isMissingTable(answer.error.sqlState)) {
     return answer;
   }
   await runInternalQuery(exchange, "ROLLBACK");
   await runInternalQuery(exchange, ledger.createText());
-  return await runInternalQuery(
-    exchange,
-    ledger.beginText(id, TRANSACTION_FINGERPRINT),
-  );
+  const unused = new BufferedSink(MAX_BEGIN_ANSWER_BYTES);
+  return await beginAndInsert(run, id, exchange, unused);
 }
 
 async function createRefusal(
--- a/test/request_ids_test.ts
+++ b/test/request_ids_test.ts
@@ -40,6 +40,15 @@
   }
 
   describe("of a transaction", () => {
+    it("keep the options of the first BEGIN in a database without a ledger", async () => {
+      await client.query(
+        "/* marjoramshed request=first */ BEGIN ISOLATION LEVEL REPEATABLE READ",
+      );
+      const { rows } = await client.query("SHOW transaction_isolation");
+      await client.query("COMMIT");
+      expect(rows).toEqual([{ transaction_isolation: "repeatable read" }]);
+    });
+
     it("don't count as done when a statement has used them", async () => {
       const comment = "/* marjoramshed request=shared */";
       await client.query(`${comment} INSERT INTO notes VALUES ('shared')`);
