Never return a connection with unreplayed session state to the pool

A caller that took an advisory lock or prepared a statement by SQL in a text that failed later, in a transaction that was rolled back, or in a request with an id, left both on a pooled connection: the lock was never released, so that everybody who wanted it waited for ever, and a later caller's PREPARE of that name got 42P05. The caller itself was moved to a connection without them.

A text with such state keeps its connection, but only if it succeeded; neither an error nor a rollback undoes an advisory lock or a PREPARE (checked on PGlite: after `SELECT pg_advisory_lock(7); SELECT 1/0` pg_locks still has the lock). Requests with an id ignored such state altogether and so leaked settings too.

The connection now stays with the session whatever the text's outcome, also after a request with an id.

--- a/src/plugins/callers/ledger_run.ts
+++ b/src/plugins/callers/ledger_run.ts
@@ -137,6 +137,7 @@
   instance: string,
 ): Promise<Attempt> {
   const { ledger } = run.context;
+  const keeps = run.plan.pinned;
   const sink = new BufferedSink(MAX_BUFFERED_ANSWER_BYTES);
   const batch = {
     unit: run.unit,
@@ -149,10 +150,12 @@
   if (result.lost) return closeAsNotRun(run, exchange);
   if (result.error) {
     const rolledBack = await runInternalQuery(exchange, "ROLLBACK");
-    exchange.finish(!rolledBack.lost);
-    if (isNotPrimary(result.error)) return notRun(run);
+    const repeats = isNotPrimary(result.error);
+    const kept = keeps && !rolledBack.lost && !repeats;
+    if (!kept) exchange.finish(!rolledBack.lost && !keeps);
+    if (repeats) return notRun(run);
     await sendAnswer(run, sink.messages, []);
-    return ANSWERED;
+    return kept ? keepConnection(exchange, instance) : ANSWERED;
   }
   if (sink.overflowed || result.status !== "T") {
     exchange.finish(false);
@@ -175,14 +178,30 @@
   }
   const position = await readPosition(exchange);
   run.track(undefined);
-  exchange.finish(!committed.error);
+  if (!keeps || committed.error) exchange.finish(!committed.error);
   if (committed.error) {
     return { kind: "unknown", failure: unknownOutcome(instance) };
   }
   const failure = await acknowledge(run, position, instance);
-  if (failure) return { kind: "unknown", failure };
+  if (failure) {
+    if (keeps) exchange.finish(false);
+    return { kind: "unknown", failure };
+  }
   await sendAnswer(run, sink.messages, [createPositionMessage(position!)]);
-  return ANSWERED;
+  return keeps ? keepConnection(exchange, instance) : ANSWERED;
+}
+
+/** Keeps the connection for the session because of state that can't be replayed. */
+function keepConnection(exchange: Exchange, instance: string): RunResult {
+  const held = {
+    exchange,
+    instance,
+    target: "primary" as const,
+    pinned: true,
+    wrote: false,
+    inTransaction: false,
+  };
+  return { kind: "held", held };
 }
 
 /** Sends the stored answer once a majority has the earlier run of the request. */
--- a/src/plugins/callers/transaction_run.ts
+++ b/src/plugins/callers/transaction_run.ts
@@ -97,9 +97,14 @@
 }
 
 /** Whether the unit leaves session state that pins the connection, as a SET in a transaction on the primary does: only the upstream knows whether it takes effect. */
-function keepsState({ plan }: Run, held: HeldConnection): boolean {
+function keepsState(
+  { plan }: Run,
+  held: HeldConnection,
+  { error }: AnswerResult,
+): boolean {
   const sets = plan.single?.replayed !== undefined && held.inTransaction;
-  return plan.pinned || sets && held.target === "primary";
+  // An error undoes no advisory lock and no PREPARE that came before it.
+  return plan.pinned || sets && held.target === "primary" && !error;
 }
 
 function keepOrFinish(
@@ -107,7 +112,7 @@
   held: HeldConnection,
   result: AnswerResult,
 ): RunResult {
-  const pinned = held.pinned || keepsState(run, held) && !result.error;
+  const pinned = held.pinned || keepsState(run, held, result);
   const inTransaction = result.status !== "I";
   if (!inTransaction && !result.error) {
     recordSessionState(run.plan, run.state, held.exchange);
--- a/src/plugins/callers/write_run.ts
+++ b/src/plugins/callers/write_run.ts
@@ -79,7 +79,8 @@
     return { kind: "failed", failure: unknownOutcome(instance) };
   }
   const position = writes ? await readPosition(exchange) : undefined;
-  const pinned = plan.pinned && !result.error;
+  // An error undoes no advisory lock and no PREPARE that came before it.
+  const { pinned } = plan;
   const idle = result.status === "I";
   if (idle && !result.error) recordSessionState(plan, state, exchange);
   // The connection is released first, because waiting for the acknowledgement does not need it.
