Run requests with an id once on a connection that the session keeps, too

On a session that keeps its connection (after a temporary table, an advisory lock, a SET among other statements) the id of a request was ignored: a repeated statement ran twice, a repeated transaction too, and an invalid id was not refused.

Held connections were served before ids were looked at, which is right inside a transaction and wrong outside one.

Evidence: request_ids_test, before: `The value ["kept", "kept"] is not equal to ["kept"]` for a statement, `expected the promise to reject, but it resolved` for a transaction and for an id of 201 characters.

Outside a transaction the request runs in the ledger on the kept connection, and is not repeated on another one when that is lost, since the session's state is lost with it.

--- a/src/plugins/callers/exchange.ts
+++ b/src/plugins/callers/exchange.ts
@@ -58,6 +58,8 @@
   #pendingReadyCount = 0;
   /** Whether the last messages sent were not ended by a Sync or a Query. */
   #unsynced = false;
+  #kept = false;
+  #finished = false;
 
   constructor(connection: UpstreamConnection) {
     this.connection = connection;
@@ -151,11 +153,23 @@
     }
   }
 
+  /** Keeps the connection for the session: `finish(true)` leaves it open. */
+  keep(): void {
+    this.#kept = true;
+  }
+
+  /** Whether the connection was released or closed. */
+  get finished(): boolean {
+    return this.#finished;
+  }
+
   /** Releases the connection if `idle` (no transaction is open) and all answers were read; closes it otherwise. */
   finish(idle: boolean): void {
     const answered = this.#pendingReadyCount === 0 && !this.#unsynced &&
       this.#index >= this.#queue.length && !this.#reader.hasPendingBytes;
     const clean = answered && idle && !this.#reader.ended;
+    if (clean && this.#kept) return;
+    this.#finished = true;
     this.#reader.detach();
     if (clean) return this.connection.release();
     this.connection.destroy();
--- a/src/plugins/callers/ledger_run.ts
+++ b/src/plugins/callers/ledger_run.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { setTimeout as delay } from "node:timers/promises";
+import { ok } from "neverthrow";
 import { clock } from "../../kernel/clock.ts";
 import { Events } from "../../kernel/events.ts";
 import {
@@ -31,6 +32,7 @@
   ANSWERED,
   applySettings,
   createPositionMessage,
+  type HeldConnection,
   isNotPrimary,
   POSITION_QUERY,
   type Run,
@@ -51,11 +53,15 @@
   /** The request may have run; the next attempt finds out from the ledger. */
   | { readonly kind: "unknown"; readonly failure: Failure };
 
-/** Runs a request under its id; retries until its outcome is known or the deadline has passed. */
-export async function runRequest(run: Run, id: string): Promise<RunResult> {
+/** Runs a request under its id, on the connection that the session keeps if there is one; retries until its outcome is known or the deadline has passed. */
+export async function runRequest(
+  run: Run,
+  id: string,
+  held?: HeldConnection,
+): Promise<RunResult> {
   let unknown: Failure | undefined;
   for (;;) {
-    const attempt = await attemptRequest(run, id);
+    const attempt = await attemptRequest(run, id, held);
     if (attempt.kind === "failed" && unknown) {
       return { kind: "failed", failure: unknown };
     }
@@ -64,33 +70,52 @@
       return attempt;
     }
     if (attempt.kind === "unknown") unknown = attempt.failure;
-    if (clock.now() >= run.deadline) {
+    // The session's state was lost with its connection, so the request may not run on another.
+    if (clock.now() >= run.deadline || held?.exchange.finished) {
       return { kind: "failed", failure: unknown ?? attempt.failure };
     }
     await delay(RETRY_PAUSE_MS);
   }
 }
 
-async function attemptRequest(run: Run, id: string): Promise<Attempt> {
-  const { context, group, state } = run;
-  const opened = await openPrimaryExchange(run);
+async function attemptRequest(
+  run: Run,
+  id: string,
+  held: HeldConnection | undefined,
+): Promise<Attempt> {
+  const { context, group } = run;
+  const opened = held ? ok(held) : await openPrimaryExchange(run);
   if (opened.isErr()) return { kind: "failed", failure: opened.error };
   const { exchange, instance } = opened.value;
-  const ready = await applySettings(exchange, state);
-  if (ready.isErr()) {
-    run.track(undefined);
-    exchange.finish(true);
-    return { kind: "failed", failure: ready.error };
-  }
-  const attempt = ready.value
+  if (held) exchange.keep();
+  const attempt = held
     ? await runInLedger(run, id, exchange, instance)
-    : closeAsNotRun(run, exchange);
+    : await runWithSettings(run, id, exchange, instance);
   if (attempt.kind === "unknown" || attempt.kind === "not run") {
     context.health.reportFailure(group.database, instance);
   }
+  if (held || exchange.finished) return attempt;
+  if (attempt.kind === "answered") return keepConnection(exchange, instance);
+  exchange.finish(false);
   return attempt;
 }
 
+async function runWithSettings(
+  run: Run,
+  id: string,
+  exchange: Exchange,
+  instance: string,
+): Promise<Attempt> {
+  const ready = await applySettings(exchange, run.state);
+  if (ready.isErr()) {
+    run.track(undefined);
+    exchange.finish(true);
+    return { kind: "failed", failure: ready.error };
+  }
+  if (!ready.value) return closeAsNotRun(run, exchange);
+  return await runInLedger(run, id, exchange, instance);
+}
+
 async function runInLedger(
   run: Run,
   id: string,
@@ -137,7 +162,7 @@
   instance: string,
 ): Promise<Attempt> {
   const { ledger } = run.context;
-  const keeps = run.plan.pinned;
+  if (run.plan.pinned) exchange.keep();
   const sink = new BufferedSink(MAX_BUFFERED_ANSWER_BYTES);
   const batch = {
     unit: run.unit,
@@ -150,12 +175,10 @@
   if (result.lost) return closeAsNotRun(run, exchange);
   if (result.error) {
     const rolledBack = await runInternalQuery(exchange, "ROLLBACK");
-    const repeats = isNotPrimary(result.error);
-    const kept = keeps && !rolledBack.lost && !repeats;
-    if (!kept) exchange.finish(!rolledBack.lost && !keeps);
-    if (repeats) return notRun(run);
+    if (isNotPrimary(result.error)) return closeAsNotRun(run, exchange);
+    exchange.finish(!rolledBack.lost);
     await sendAnswer(run, sink.messages, []);
-    return kept ? keepConnection(exchange, instance) : ANSWERED;
+    return ANSWERED;
   }
   if (sink.overflowed || result.status !== "T") {
     exchange.finish(false);
@@ -178,17 +201,14 @@
   }
   const position = await readPosition(exchange);
   run.track(undefined);
-  if (!keeps || committed.error) exchange.finish(!committed.error);
+  exchange.finish(!committed.error);
   if (committed.error) {
     return { kind: "unknown", failure: unknownOutcome(instance) };
   }
   const failure = await acknowledge(run, position, instance);
-  if (failure) {
-    if (keeps) exchange.finish(false);
-    return { kind: "unknown", failure };
-  }
+  if (failure) return { kind: "unknown", failure };
   await sendAnswer(run, sink.messages, [createPositionMessage(position!)]);
-  return keeps ? keepConnection(exchange, instance) : ANSWERED;
+  return ANSWERED;
 }
 
 /** Keeps the connection for the session because of state that can't be replayed. */
--- a/src/plugins/callers/session.ts
+++ b/src/plugins/callers/session.ts
@@ -194,32 +194,34 @@
   async #dispatch(run: Run): Promise<RunResult> {
     const { plan } = run;
     const held = this.#held;
-    if (held) return await runHeld(run, held);
+    if (held?.inTransaction) return await runHeld(run, held);
     const command = plan.single?.transaction;
-    if (command === "begin read only") return await runRead(run);
-    if (command === "begin") return await this.#begin(run);
-    if (plan.effect === "read") return await runRead(run);
-    const id = plan.effect === "write" ? this.#takeRequestId(plan) : undefined;
-    if (id !== undefined) return await this.#runRequest(run, id, runRequest);
-    return await runWrite(run);
-  }
-
-  async #begin(run: Run): Promise<RunResult> {
-    const id = this.#takeRequestId(run.plan);
-    if (id === undefined) return await runWrite(run);
-    return await this.#runRequest(run, id, beginRequest);
+    const begins = command === "begin";
+    const id = begins || plan.effect === "write"
+      ? this.#takeRequestId(plan)
+      : undefined;
+    if (id !== undefined) {
+      return await this.#runRequest(
+        run,
+        id,
+        begins ? beginRequest : runRequest,
+      );
+    }
+    if (held) return await runHeld(run, held);
+    const reads = command === "begin read only" || plan.effect === "read";
+    return reads ? await runRead(run) : await runWrite(run);
   }
 
   async #runRequest(
     run: Run,
     id: string,
-    execute: (run: Run, id: string) => Promise<RunResult>,
+    execute: typeof runRequest,
   ): Promise<RunResult> {
     if (!isRequestId(id)) return { kind: "failed", failure: badRequestId(id) };
     if (run.plan.mixedTransaction || run.unit.end === "flush") {
       return { kind: "failed", failure: invalidRequestForm() };
     }
-    return await execute(run, id);
+    return await execute(run, id, this.#held);
   }
 
   #takeRequestId(plan: Plan): string | undefined {
@@ -230,7 +232,8 @@
 
   async #finishRun(run: Run, result: RunResult): Promise<void> {
     this.#activeConnection = undefined;
-    this.#held = result.kind === "held" ? result.held : undefined;
+    if (result.kind === "held") this.#held = result.held;
+    if (this.#held?.exchange.finished) this.#held = undefined;
     if (result.kind === "transaction lost") this.#transactionLost = true;
     if (result.kind !== "failed" && result.kind !== "transaction lost") return;
     await this.#refuse(run.unit, result.failure);
--- a/src/plugins/callers/transaction_request.ts
+++ b/src/plugins/callers/transaction_request.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { ok } from "neverthrow";
 import {
   createFailure,
   type Failure,
@@ -18,6 +19,7 @@
 import { openPrimaryExchange } from "./primary_exchange.ts";
 import {
   applySettings,
+  type HeldConnection,
   POSITION_QUERY,
   type Run,
   runInternalQuery,
@@ -30,13 +32,18 @@
 const MAX_BEGIN_ANSWER_BYTES = 64 * 1024;
 
 /** Begins the transaction and inserts its request id into the ledger. */
-export async function beginRequest(run: Run, id: string): Promise<RunResult> {
+export async function beginRequest(
+  run: Run,
+  id: string,
+  kept?: HeldConnection,
+): Promise<RunResult> {
   const { state } = run;
-  const opened = await openPrimaryExchange(run);
+  const opened = kept ? ok(kept) : await openPrimaryExchange(run);
   if (opened.isErr()) return { kind: "failed", failure: opened.error };
   const { exchange, instance } = opened.value;
+  if (kept) exchange.keep();
   const sink = new BufferedSink(MAX_BEGIN_ANSWER_BYTES);
-  const ready = await applySettings(exchange, state);
+  const ready = kept ? ok(true) : await applySettings(exchange, state);
   if (ready.isErr()) {
     run.track(undefined);
     exchange.finish(true);
@@ -53,7 +60,12 @@
       instance,
       insertAnswer,
     );
-    exchange.finish(false);
+    run.track(undefined);
+    // A repeated id was found after a rollback.
+    exchange.finish(
+      failure.code === ResultCodes.REQUEST_DONE ||
+        failure.code === ResultCodes.REQUEST_ID_REUSED,
+    );
     return { kind: "failed", failure };
   }
   await run.output.write(sink.messages.map((message) => message.data));
@@ -61,7 +73,7 @@
     exchange,
     instance,
     target: "primary" as const,
-    pinned: false,
+    pinned: kept !== undefined,
     wrote: true,
     inTransaction: true,
   };
--- a/test/request_ids_test.ts
+++ b/test/request_ids_test.ts
@@ -7,10 +7,12 @@
 import { after, before, describe, it } from "node:test";
 import { expect } from "earl";
 import type pg from "pg";
+import { ResultCodes } from "../src/kernel/result_codes.ts";
 import { createStack, type Stack } from "../standins/stack/stack.ts";
 import { connectCaller, failureOf } from "./support/callers.ts";
 
 const DATABASE = "booking";
+const INVALID_ID = ResultCodes.REQUEST_ID_INVALID.sqlState;
 
 describe("request ids", () => {
   let running: Stack;
@@ -57,6 +59,50 @@
     });
   });
 
+  describe("on a connection that the session keeps", () => {
+    let keeper: pg.Client;
+
+    before(async () => {
+      keeper = await connect();
+      await keeper.query("SET TimeZone = 'Asia/Tokyo'; SELECT 1");
+    });
+    after(() => keeper?.end());
+
+    async function zone(): Promise<string> {
+      return (await keeper.query("SHOW TimeZone")).rows[0].TimeZone;
+    }
+
+    it("run a statement once", async () => {
+      const insert =
+        "/* marjoramshed request=kept */ INSERT INTO notes VALUES ('kept')";
+      await keeper.query(insert);
+      const repeated = await keeper.query(insert);
+      expect(repeated.rowCount).toEqual(1);
+      expect((await notes()).filter((text) => text === "kept"))
+        .toEqual(["kept"]);
+      expect(await zone()).toEqual("Asia/Tokyo");
+    });
+
+    it("run a transaction once", async () => {
+      const begin = "/* marjoramshed request=kept-too */ BEGIN";
+      await keeper.query(begin);
+      await keeper.query("INSERT INTO notes VALUES ('kept-too')");
+      await keeper.query("COMMIT");
+      const error = await failureOf(keeper.query(begin));
+      expect(error.code).toEqual("MS408");
+      expect(await zone()).toEqual("Asia/Tokyo");
+    });
+
+    it("are refused when they are invalid, and the session goes on", async () => {
+      const long = "x".repeat(201);
+      const error = await failureOf(
+        keeper.query(`/* marjoramshed request=${long} */ DELETE FROM notes`),
+      );
+      expect(error.code).toEqual(INVALID_ID);
+      expect(await zone()).toEqual("Asia/Tokyo");
+    });
+  });
+
   describe("of a statement", () => {
     it("tell statements apart after a comment that ends at a carriage return", async () => {
       const insert = (text: string) =>
