Tell statement names and texts in other encodings than UTF-8 apart

A caller with client_encoding LATIN1 whose statement names differed in letters such as ä and ö got the statement prepared last under either name, and two requests with one id whose texts differed in such letters were taken for one: the second got the first's answer without running.

Names and texts were decoded as UTF-8, where every byte that is not valid becomes the same replacement character, before they were used as keys and hashed.

Evidence: plan_test, before: `The value true is not equal to false` (names of the bytes e4 and f6).

Bytes that are not valid UTF-8 are read one by one. What is sent on was and is the caller's own bytes.

--- a/src/plugins/wire/message.ts
+++ b/src/plugins/wire/message.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import { isUtf8 } from "node:buffer";
 import { serialize } from "pg-protocol";
 
 /** A complete message; `data` holds the type byte, the length and the body. */
@@ -61,14 +62,16 @@
   return String.fromCharCode(message.data[HEADER_BYTES]!) as TransactionStatus;
 }
 
-/** Reads the NUL-terminated string at an offset; undefined if the terminator is missing. `end` is the offset after the terminator. */
+/** Reads the NUL-terminated string at an offset; undefined if the terminator is missing. `end` is the offset after the terminator. In another encoding than UTF-8 each byte stands for a character, so that different bytes stay different. */
 export function readCString(
   message: Message,
   offset: number,
 ): { readonly text: string; readonly end: number } | undefined {
   const end = message.data.indexOf(0, offset);
   if (end < 0) return undefined;
-  return { text: message.data.toString("utf8", offset, end), end: end + 1 };
+  const bytes = message.data.subarray(offset, end);
+  const text = bytes.toString(isUtf8(bytes) ? "utf8" : "latin1");
+  return { text, end: end + 1 };
 }
 
 /** Creates a message from its type and body. */
--- a/test/plan_test.ts
+++ b/test/plan_test.ts
@@ -13,7 +13,11 @@
 import { readParse } from "../src/plugins/callers/statements.ts";
 import type { Unit } from "../src/plugins/callers/unit_reader.ts";
 import { GrammarClassifier } from "../src/plugins/classification/grammar_classifier.ts";
-import { splitMessages } from "../src/plugins/wire/message.ts";
+import {
+  createMessage,
+  FrontendType,
+  splitMessages,
+} from "../src/plugins/wire/message.ts";
 
 const SETTING = "SET TimeZone = 'Asia/Tokyo'";
 const READ = "SELECT now()";
@@ -98,4 +102,20 @@
     expect(pinned).toEqual(false);
     expect(single?.replayed?.name).toEqual("timezone");
   });
+
+  it("tells statement names and texts in another encoding than UTF-8 apart", () => {
+    const parse = (byte: number): Buffer => {
+      const body = Buffer.concat([
+        Buffer.from([byte, 0]),
+        Buffer.from("SELECT '"),
+        Buffer.from([byte]),
+        Buffer.from("'\0\0\0"),
+      ]);
+      return createMessage(FrontendType.PARSE, body).data;
+    };
+    const messages = splitMessages(Buffer.concat([parse(0xe4), parse(0xf6)]));
+    const [first, second] = messages.map((item) => readParse(item)!);
+    expect(first!.name === second!.name).toEqual(false);
+    expect(first!.statement.text === second!.statement.text).toEqual(false);
+  });
 });
