Refuse an empty operation id, operator or number of a document's change

Cause: only flags that were not given got their default; an empty id made the key operation/ENVIRONMENT/, which all such commands share.

Evidence: test failed before: 'is rejected with an empty operation id, operator or number': the value 0 is not equal to 2 (the command's exit code).

Ruled out: an environment's name with a slash, which would build the keys of another environment's revisions. A change requires the environment in the document, whose names have none; a query only reads. An operation's id may have slashes, since it is the last part of its key.

Why it works: the three are refused as invalid settings before anything is read or written.

--- a/src/commands/document_changes.ts
+++ b/src/commands/document_changes.ts
@@ -30,19 +30,16 @@
   });
 
   protected resolveOperation(): Result<Operation, Failure> {
+    if (this.operation === "") return invalid("--operation", "an id", "");
+    if (this.operator === "") return invalid("--operator", "a name", "");
     const id = this.operation ?? randomUUID();
     const operator = this.operator ?? userInfo().username;
     if (this.expect === undefined) return ok({ id, operator });
     const expectedNumber = Number(this.expect);
-    if (Number.isSafeInteger(expectedNumber) && expectedNumber >= 0) {
-      return ok({ id, operator, expectedNumber });
-    }
-    return err(createFailure(
-      ResultCodes.SETTING_INVALID,
-      `--expect: expected a non-negative integer, found ${
-        JSON.stringify(this.expect)
-      }`,
-    ));
+    const isNumber = this.expect !== "" &&
+      Number.isSafeInteger(expectedNumber) && expectedNumber >= 0;
+    if (isNumber) return ok({ id, operator, expectedNumber });
+    return invalid("--expect", "a non-negative integer", this.expect);
   }
 
   protected formatHead(head: Head): string {
@@ -126,3 +123,14 @@
     );
   }
 }
+
+function invalid(
+  flag: string,
+  expected: string,
+  found: string,
+): Result<never, Failure> {
+  return err(createFailure(
+    ResultCodes.SETTING_INVALID,
+    `${flag}: expected ${expected}, found ${JSON.stringify(found)}`,
+  ));
+}
--- a/test/cli_test.ts
+++ b/test/cli_test.ts
@@ -61,6 +61,16 @@
       expect(refused.stderr).toEqual(expect.includes("revision 1 by ana"));
     });
 
+    // Guards against a script's variable that is not set: the second put with it would change nothing and report success.
+    it("is rejected with an empty operation id, operator or number", async () => {
+      for (const flag of ["--operation", "--operator", "--expect"]) {
+        const put = ["document", "put", "-", flag, ""];
+        const refused = await runCli(put, settings, TEXT);
+        expect(refused.exitCode).toEqual(ResultCodes.SETTING_INVALID.exitCode);
+        expect(refused.stderr).toEqual(expect.includes(`${flag}: expected`));
+      }
+    });
+
     it("is rejected without a required setting, naming its flag and variable", async () => {
       const refused = await runCli(["document", "diff"]);
       expect(refused.exitCode).toEqual(ResultCodes.SETTING_INVALID.exitCode);
