Show every change of a document, on one line each

What operators saw: two kinds of reads may have one name, and the first one is used. A change of the first was not shown: document diff said 'no difference', and the promotion changed how old reads may be. A table's name may have any characters; one with a line end made a line of its own in the diff. An added environment named constructor was shown as changed.

Cause: the items of a list were compared by name alone, so that the last one of a name replaced the others; the name was put into the path as it is; and an absent environment was looked up in a plain object.

Evidence: tests failed before: 'shows a change of each of several items of one name': the value [] is not equal to [{ 3 entries }]; 'shows one line for each change, whatever a name contains': the value [3 entries] is not equal to [4 entries]; 'shows an environment as added, whatever its name': the value function Object() is not equal to undefined.

Ruled out: refusing two kinds of one name. A document that was accepted with them would be refused by the proxies that load it after their update.

Why it works: the second item of a name is NAME#2 in the path, and names that are not plain are quoted, so that no two items have one path.

--- a/src/plugins/document/diff_documents.ts
+++ b/src/plugins/document/diff_documents.ts
@@ -15,6 +15,9 @@
 
 const REDACTED = "(hidden)";
 
+/** Names of tables may have any characters, all others are plain. */
+const PLAIN_NAME_PATTERN = /^[\w.-]+$/;
+
 /** Returns all differences in document order, with password hashes redacted. */
 export function diffDocuments(
   before: Document | undefined,
@@ -58,7 +61,11 @@
 ): Change[] {
   const keys = new Set([...Object.keys(before), ...Object.keys(after)]);
   return [...keys].flatMap((key) =>
-    diffValues(path === "" ? key : `${path}.${key}`, before[key], after[key])
+    diffValues(
+      path === "" ? key : `${path}.${key}`,
+      ownValue(before, key),
+      ownValue(after, key),
+    )
   );
 }
 
@@ -79,13 +86,35 @@
   );
 }
 
-/** Maps the items of a list by name; strings are their own name, and unnamed items use their index. */
+function ownValue(
+  object: Readonly<Record<string, unknown>>,
+  key: string,
+): unknown {
+  return Object.hasOwn(object, key) ? object[key] : undefined;
+}
+
+/**
+ * Maps the items of a list by name; strings are their own name, and unnamed items
+ * use their index. The second item of a name is `NAME#2`, and so on.
+ */
 function indexByName(items: readonly unknown[]): Map<string, unknown> {
   const itemsByName = new Map<string, unknown>();
-  items.forEach((item, index) => itemsByName.set(nameOf(item, index), item));
+  items.forEach((item, index) => {
+    const name = quoteUnlessPlain(nameOf(item, index));
+    let key = name;
+    for (let count = 2; itemsByName.has(key); count += 1) {
+      key = `${name}#${count}`;
+    }
+    itemsByName.set(key, item);
+  });
   return itemsByName;
 }
 
+/** Quotes a name with characters that could be mistaken for other parts of a line. */
+function quoteUnlessPlain(name: string): string {
+  return PLAIN_NAME_PATTERN.test(name) ? name : JSON.stringify(name);
+}
+
 function nameOf(item: unknown, index: number): string {
   if (typeof item === "string") return item;
   if (!isObject(item)) return String(index);
--- a/test/document_test.ts
+++ b/test/document_test.ts
@@ -1,9 +1,12 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
 import fc from "fast-check";
-import { stringify } from "yaml";
+import { parse as parseYaml, stringify } from "yaml";
 import type { Document } from "../src/plugins/document/document.ts";
-import { diffDocuments } from "../src/plugins/document/diff_documents.ts";
+import {
+  diffDocuments,
+  formatChange,
+} from "../src/plugins/document/diff_documents.ts";
 import {
   formatPath,
   parseDocument,
@@ -120,6 +123,63 @@
       ]);
     });
 
+    /** A document whose trial has the given kinds of reads. */
+    const withKinds = (...kinds: readonly unknown[]) => {
+      const value = parseYaml(sampleDocument());
+      value.environments.trial.groups[0].reads.kinds = kinds;
+      return parse(value);
+    };
+
+    // Guards against a change that an operator doesn't see before a promotion.
+    it("shows a change of each of several items of one name", () => {
+      const [first, second] = ["1s", "2s"].map((maxAge) => ({
+        name: "stock",
+        maxAge,
+      }));
+      const before = withKinds(first, second);
+      const path = "environments.trial.groups[booking].reads.kinds";
+      expect(diffDocuments(before, withKinds(second, second))).toEqual([
+        { path: `${path}[stock].maxAge`, before: 1_000, after: 2_000 },
+      ]);
+      expect(diffDocuments(before, withKinds(first, first))).toEqual([
+        { path: `${path}[stock#2].maxAge`, before: 2_000, after: 1_000 },
+      ]);
+      const [removed] = diffDocuments(before, withKinds(first));
+      expect(removed?.path).toEqual(`${path}[stock#2]`);
+    });
+
+    it("shows one line for each change, whatever a name contains", () => {
+      const kind = (...tables: readonly string[]) => ({
+        name: "stock",
+        maxAge: "1s",
+        tables,
+      });
+      const changes = diffDocuments(
+        withKinds(kind("shelf")),
+        withKinds(kind("shelf", "a\n- accounts[app]: 1", "b#2", "b", "b")),
+      );
+      const path =
+        "environments.trial.groups[booking].reads.kinds[stock].tables";
+      expect(changes.map(formatChange)).toEqual([
+        `+ ${path}["a\\n- accounts[app]: 1"]: "a\\n- accounts[app]: 1"`,
+        `+ ${path}["b#2"]: "b#2"`,
+        `+ ${path}[b]: "b"`,
+        `+ ${path}[b#2]: "b"`,
+      ]);
+    });
+
+    it("shows an environment as added, whatever its name", () => {
+      const value = parseYaml(sampleDocument());
+      value.environments.constructor = value.environments.trial;
+      const [change, ...others] = diffDocuments(
+        parse(sampleValue()),
+        parse(value),
+      );
+      expect(change?.path).toEqual("environments.constructor");
+      expect(change?.before).toEqual(undefined);
+      expect(others).toEqual([]);
+    });
+
     it("redacts password hashes", () => {
       const document = parse(sampleValue());
       const changes = JSON.stringify(diffDocuments(undefined, document));
