Refuse a zone or a peer endpoint that other proxies refuse

What operators saw: a proxy with a zone or a peer endpoint of more than 128 characters started, and never became a member: the other proxies refused each of its messages. By the code it then counts itself as the only one, and takes the whole limit of connections of an instance (not run).

Cause: the messages between proxies limit their texts; the settings did not.

Evidence: test failed before: 'that are accepted fit into the messages to other proxies': the value false is not equal to true; 'name the flag that is too long': called _unsafeUnwrapErr on an Ok.

Why it works: the settings have the limit of the messages, which the test compares. A longer limit in the messages would be refused by proxies of the last release.

--- a/src/kernel/settings.ts
+++ b/src/kernel/settings.ts
@@ -14,12 +14,15 @@
 const file = z.string().min(1).optional();
 const url = z.url();
 
+/** Maximum length of a text that other proxies get, in characters; they refuse messages with a longer one. */
+const SHARED_TEXT_MAX_LENGTH = 128;
+
 /** Schema of the settings; each key is its flag's name in camel case. */
 export const settingsSchema = z.strictObject({
   /** Name of this proxy, unique in its environment. */
   name: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/),
   /** Availability zone of this proxy. */
-  zone: z.string().min(1),
+  zone: z.string().min(1).max(SHARED_TEXT_MAX_LENGTH),
   /** Environment of the document that this proxy serves. */
   environment: z.string().min(1).default("production"),
   /** IP address to listen on and to connect from. */
@@ -29,7 +32,8 @@
   /** Port for peers; 0 selects a free one. */
   peerPort: port.default(6433),
   /** Host and port at which peers reach this proxy; defaults to the address and the peer port. */
-  peerEndpoint: z.string().regex(/^.+:\d+$/).optional(),
+  peerEndpoint: z.string().max(SHARED_TEXT_MAX_LENGTH).regex(/^.+:\d+$/)
+    .optional(),
   /** Port for metrics over HTTP; 0 selects a free one. */
   metricsPort: port.default(0),
   /** URL of the table service. */
