Keep the record of a primary apart by environment

What operators saw: the table service has one record of the primary of each database, for information. Trial and production commonly have a database of one name and share the table; the record then named the primary of whichever environment had the higher term, and a change of primary in the other one was not recorded.

Cause: the record's key was group/DATABASE, without the environment, unlike the keys of the revisions.

Evidence: test failed before: 'publish the primary beside that of another environment': the value [["t", 9]] is not equal to [["t", 9], ["a", 2]]. The test 'publish the new primary, its term and the proposer' read the old key and now reads the new one; it checks the same content.

Ruled out: harm to callers. Nothing reads the record.

Why it works: the key is group/ENVIRONMENT/DATABASE; neither name has a slash.

--- a/src/plugins/failover/failover_monitor.ts
+++ b/src/plugins/failover/failover_monitor.ts
@@ -142,9 +142,16 @@
   }
 
   #publish(database: string, { primary, term }: PromotionOutcome): void {
-    const { tableService, log, name } = this.#options;
-    const record = { database, primary: primary.name, term, proposer: name };
-    void publishGroupRecord(tableService, log, record);
+    const { configuration, tableService, log, name } = this.#options;
+    const revision = configuration.current();
+    if (!revision) return;
+    void publishGroupRecord(tableService, log, {
+      environment: revision.environment,
+      database,
+      primary: primary.name,
+      term,
+      proposer: name,
+    });
   }
 
   #onPause(): void {
--- a/src/plugins/failover/group_record.ts
+++ b/src/plugins/failover/group_record.ts
@@ -9,6 +9,8 @@
 
 /** Primary of a group, as published in the table service. */
 export interface GroupRecord {
+  /** Environment of the document that has the group; others may have a database of the same name. */
+  readonly environment: string;
   readonly database: string;
   readonly primary: string;
   readonly term: number;
@@ -22,8 +24,8 @@
   log: EventLog,
   record: GroupRecord,
 ): Promise<void> {
-  const { database, primary, term, proposer } = record;
-  const key = `group/${database}`;
+  const { environment, database, primary, term, proposer } = record;
+  const key = `group/${environment}/${database}`;
   const found = await tableService.get(key);
   if (found.isErr()) return reportFailure(log, found.error.message);
   const previousTerm = found.value?.attributes["term"];
--- a/test/proposers_test.ts
+++ b/test/proposers_test.ts
@@ -3,6 +3,7 @@
 import { expect } from "earl";
 import { clock } from "../src/kernel/clock.ts";
 import { FailoverMonitor } from "../src/plugins/failover/failover_monitor.ts";
+import { publishGroupRecord } from "../src/plugins/failover/group_record.ts";
 import { HealthMonitor } from "../src/plugins/health/health_monitor.ts";
 import {
   createInstance,
@@ -111,7 +112,7 @@
     health.reportFailure(DATABASE, "a");
     const deadline = clock.now() + DEADLINE_MS;
     const primary = (await health.primary(DATABASE, deadline))._unsafeUnwrap();
-    const row = () => tableService.rows.get(`group/${DATABASE}`);
+    const row = () => tableService.rows.get(`group/production/${DATABASE}`);
     while (!row() && clock.now() < deadline) await sleep(20);
     expect(row()?.attributes).toEqual({
       primary: primary.name,
@@ -120,6 +121,21 @@
     });
   });
 
+  // Guards against a record of trial that stands for production, since both environments have the database.
+  it("publish the primary beside that of another environment", async () => {
+    const record = { database: DATABASE, primary: "t", proposer: "p9" };
+    const log = createTestLog("p9");
+    await publishGroupRecord(tableService, log, {
+      ...{ ...record, environment: "trial", term: 9 },
+    });
+    await publishGroupRecord(tableService, log, {
+      ...{ ...record, environment: "production", primary: "a", term: 2 },
+    });
+    const terms = [...tableService.rows.values()]
+      .map(({ attributes: { primary, term } }) => [primary, term]);
+    expect(terms).toEqual([["t", 9], ["a", 2]]);
+  });
+
   it("reattach an instance that a failed proposal left fenced", async () => {
     const health = await startProxy("p1");
     control.statuses.set("c", createStatus({ role: "fenced", seenTerm: 5 }));
