Log the zone of a peer or a host beside that of the proxy

What operators saw: the lines about other proxies (events 305 to 307) and about leaving hosts (304) had the field zone twice, first the proxy's own, then the other's. Readers that keep the last one took it for the proxy's.

Cause: each line carries the name and zone of the proxy that writes it, and these events wrote a field of the same name; pino does not merge names.

Evidence: tests failed before: 'name the proxy's own availability zone beside that of another proxy' and '... of a listed host': the value 3 is not equal to 2 (the line was split at the field's name).

Why it works: the other's zone is the field peerZone or hostZone.

--- a/src/plugins/host_list/http_host_list.ts
+++ b/src/plugins/host_list/http_host_list.ts
@@ -142,8 +142,9 @@
     const leaving = hosts.filter((host) => host.state === "leaving");
     for (const host of leaving) {
       if (this.#leaving.has(host.name)) continue;
-      const { name, kind, zone } = host;
-      this.#log.write(Events.HOST_LEAVING, { host: name, kind, zone });
+      const { name, kind, zone: hostZone } = host;
+      // Each line has the availability zone of this proxy as its zone.
+      this.#log.write(Events.HOST_LEAVING, { host: name, kind, hostZone });
     }
     this.#hosts = hosts;
     this.#leaving = new Set(leaving.map((host) => host.name));
--- a/src/plugins/membership/gossip_membership.ts
+++ b/src/plugins/membership/gossip_membership.ts
@@ -208,10 +208,17 @@
   }
 
   #recordUpdate({ member, change, sender }: AppliedUpdate): void {
-    const { name, zone, incarnation, version } = member.state;
+    const { name, incarnation, version } = member.state;
     if (change === "refuted") this.#prober.recordSlowness();
     if (change === "state" || change === "refuted") return;
-    const fields = { peer: name, zone, incarnation, version, toldBy: sender };
+    const fields = {
+      peer: name,
+      // Each line has the availability zone of this proxy as its zone.
+      peerZone: member.state.zone,
+      incarnation,
+      version,
+      toldBy: sender,
+    };
     this.#partnersChanged = true;
     if (member.liveness === "suspected") {
       this.#suspicions.record(name);
