Keep the proxies of different environments apart

What operators saw: proxies of trial and production that share the key of the proxies (docs/OPERATIONS.md: the key of all proxies) and the host list became members of one another. A proxy of production that learned of a higher revision number from a proxy of trial fetched that revision and put it in force: production served a document that was tried and never promoted, and took no revision of its own until its number was higher.

Cause: revisions are numbered within an environment, but the messages between proxies carried only the number, as if it were unique.

Evidence: test failed before: 'is active only in its own environment, whose proxies share the key and the list with the others'': the value 3 is not equal to 1 (the revision of the proxy of production).

Ruled out: signing with a key of the environment, since proxies of the last release, and the status command, would not understand each other.

Why it works: an exchange names the environment of its sender, and one of another environment is refused before it has an effect, so that no proxy is a member of another environment; a request for a revision names its environment as well, for proxies that know each other through one of the last release. Messages of the last release name none and are taken as before, so the separation holds once all proxies are replaced.

--- a/src/kernel/settings.ts
+++ b/src/kernel/settings.ts
@@ -24,7 +24,8 @@
   /** Availability zone of this proxy. */
   zone: z.string().min(1).max(SHARED_TEXT_MAX_LENGTH),
   /** Environment of the document that this proxy serves. */
-  environment: z.string().min(1).default("production"),
+  environment: z.string().min(1).max(SHARED_TEXT_MAX_LENGTH)
+    .default("production"),
   /** IP address to listen on and to connect from. */
   address: z.union([z.ipv4(), z.ipv6()]).default("127.0.0.1"),
   /** Port for callers; 0 selects a free one. */
--- a/src/plugins/configuration/peer_revisions.ts
+++ b/src/plugins/configuration/peer_revisions.ts
@@ -22,13 +22,21 @@
   readonly text: string;
 }
 
-/** Requests the active revision of a peer if its number is above `above`; null otherwise. */
+const requestSchema = z.object({
+  above: z.number().int().min(0),
+  /** Missing in the request of an earlier release. */
+  environment: z.string().optional(),
+});
+
+type RevisionRequest = z.infer<typeof requestSchema>;
+
+/** Requests the active revision of a peer if it serves the environment and its number is above `above`; null otherwise. */
 export const revisionProcedure: PeerProcedure<
-  { above: number },
+  RevisionRequest,
   PeerRevision | null
 > = {
   name: "revision",
-  input: z.object({ above: z.number().int().min(0) }),
+  input: requestSchema,
   output: z.object({
     number: z.number().int().min(1),
     hash: z.string(),
@@ -38,6 +46,8 @@
 
 /** Options of `PeerRevisions`. */
 export interface PeerRevisionsOptions {
+  /** Environment that this proxy serves; revisions are numbered within it. */
+  readonly environment: string;
   readonly peers: Peers;
   readonly membership: Membership;
   readonly document: ActiveDocument;
@@ -58,7 +68,7 @@
   /** Serves requests of peers and starts the background task. */
   start(): void {
     const { peers, membership } = this.#options;
-    peers.serve(revisionProcedure, ({ above }) => this.#answer(above));
+    peers.serve(revisionProcedure, (request) => this.#answer(request));
     this.#unsubscribe = membership.subscribe(() => this.#wake());
     this.#task = this.#run();
   }
@@ -93,17 +103,19 @@
   }
 
   async #fetchFrom(endpoint: string): Promise<boolean> {
-    const { peers, document } = this.#options;
-    const above = document.number;
+    const { peers, document, environment } = this.#options;
+    const request = { above: document.number, environment };
     const reply = await peers
-      .call(endpoint, revisionProcedure, { above }, FETCH_TIMEOUT_MS);
+      .call(endpoint, revisionProcedure, request, FETCH_TIMEOUT_MS);
     if (reply.isErr() || reply.value === null) return false;
     const { number, hash, text } = reply.value;
     if (contentHash(text) !== hash) return false;
     return document.offer(number, text, "peer");
   }
 
-  #answer(above: number): PeerRevision | null {
+  #answer({ above, environment }: RevisionRequest): PeerRevision | null {
+    const own = this.#options.environment;
+    if (environment !== undefined && environment !== own) return null;
     const active = this.#options.document.revisionText();
     if (!active || active.number <= above) return null;
     return { ...active, hash: contentHash(active.text) };
--- a/src/plugins/configuration/replicated_configuration.ts
+++ b/src/plugins/configuration/replicated_configuration.ts
@@ -40,6 +40,7 @@
       proxyCount: () => membership.alive().length,
     });
     this.#peerRevisions = new PeerRevisions({
+      environment,
       peers,
       membership,
       document: this,
--- a/src/plugins/membership/gossip.ts
+++ b/src/plugins/membership/gossip.ts
@@ -51,14 +51,22 @@
 /** Exchanges the contents of the member table with other members. */
 export class Gossip {
   readonly #peers: Peers;
+  readonly #environment: string;
   readonly #table: MemberTable;
   readonly #queue: UpdateQueue;
   readonly #listener: GossipListener;
   readonly #mismatches = new Map<string, number>();
   #reconciledAt = -Infinity;
 
-  constructor(peers: Peers, table: MemberTable, listener: GossipListener) {
+  /** Exchanges nothing with the proxies of another environment, which may be in the same host list. */
+  constructor(
+    peers: Peers,
+    environment: string,
+    table: MemberTable,
+    listener: GossipListener,
+  ) {
     this.#peers = peers;
+    this.#environment = environment;
     this.#table = table;
     this.#queue = new UpdateQueue(table.ownState.name);
     this.#listener = listener;
@@ -104,6 +112,7 @@
       timeoutMs,
     );
     if (answer.isErr() || answer.value.from !== peer) return false;
+    if (this.#isForeign(answer.value)) return false;
     this.#queue.markDelivered(peer, updates);
     this.#handleMessage(answer.value);
     this.#reconcileIfNeeded(peer, endpoint, answer.value.sum);
@@ -126,6 +135,9 @@
   }
 
   #handleExchange(message: ExchangeMessage): ExchangeMessage {
+    if (this.#isForeign(message)) {
+      throw new Error(`this proxy serves ${this.#environment}`);
+    }
     this.#handleMessage(message);
     const updates = this.#queue.pendingFor(message.from, UPDATES_LIMIT);
     this.#queue.markDelivered(message.from, updates);
@@ -146,11 +158,16 @@
       : [];
     return {
       from: this.#table.ownState.name,
+      environment: this.#environment,
       sum: this.#table.checksum,
       updates: this.#encodeMembers([...refutable, ...updateNames]),
     };
   }
 
+  #isForeign({ environment }: ExchangeMessage): boolean {
+    return environment !== undefined && environment !== this.#environment;
+  }
+
   #handleMessage(message: ExchangeMessage): void {
     this.#applyUpdates(message.updates.map(decodeMember), message.from);
     this.#listener.onMessage(message.from);
--- a/src/plugins/membership/gossip_membership.ts
+++ b/src/plugins/membership/gossip_membership.ts
@@ -48,6 +48,8 @@
 export interface MembershipOptions {
   readonly name: string;
   readonly zone: string;
+  /** Environment that this proxy serves; proxies of another one are no members. */
+  readonly environment: string;
   readonly peers: Peers;
   readonly hostList: HostList;
   readonly log: EventLog;
@@ -89,7 +91,8 @@
       leaving: false,
       demands: [],
     });
-    this.#gossip = new Gossip(options.peers, this.#table, {
+    const { peers, environment } = options;
+    this.#gossip = new Gossip(peers, environment, this.#table, {
       onMessage: (sender) => this.#handleMessageFrom(sender),
       onUpdates: (updates) => this.#handleUpdates(updates),
     });
--- a/src/plugins/membership/plugin.ts
+++ b/src/plugins/membership/plugin.ts
@@ -13,6 +13,7 @@
     new GossipMembership({
       name: settings.name,
       zone: settings.zone,
+      environment: settings.environment,
       peers: use("peers"),
       hostList: use("host_list"),
       log,
--- a/src/plugins/membership/procedures.ts
+++ b/src/plugins/membership/procedures.ts
@@ -52,6 +52,8 @@
 const exchangeSchema = z.object({
   /** Name of the sender. */
   from: textSchema,
+  /** Environment of the sender; missing in the messages of an earlier release. */
+  environment: textSchema.optional(),
   /** Checksum of the sender's member table. */
   sum: z.number().int(),
   updates: z.array(memberSchema).max(UPDATES_LIMIT + 1),
--- a/test/configuration_test.ts
+++ b/test/configuration_test.ts
@@ -57,6 +57,30 @@
       }
     });
 
+    // Guards against a document of trial that is served in production before it is promoted.
+    it("is active only in its own environment, whose proxies share the key and the list with the others'", async () => {
+      const [live, tried] = [
+        await stack.startProxy({ name: "live", address: "127.41.3.1" }),
+        await stack.startProxy({
+          name: "tried",
+          address: "127.41.3.2",
+          environment: "trial",
+        }),
+      ];
+      const number = await promote("one");
+      await waitForRevision(number, [live]);
+      for (const service of ["two", "three"]) {
+        const text = sampleDocument(service);
+        const operation = { id: randomUUID(), operator: "test" };
+        await stack.revisions().put("trial", text, operation);
+      }
+      await waitForRevision(3, [tried]);
+      await sleep(OBSERVATION_MS);
+      expect(await revisionOf(live)).toEqual(number);
+      expect(await stack.alive(live)).toEqual(["live"]);
+      expect(await stack.alive(tried)).toEqual(["tried"]);
+    });
+
     it("that violates the schema leaves the previous revision active", async () => {
       proxies = await stack.startProxies(1, "127.41.3");
       await waitForRevision(await promote("one"));
--- a/test/demands_test.ts
+++ b/test/demands_test.ts
@@ -40,7 +40,8 @@
     for (const [index, peer] of peers.entries()) {
       const { name, zone } = hosts[index]!;
       const member = new GossipMembership({
-        ...{ name, zone, peers: peer, hostList, log },
+        ...{ name, zone, environment: "production" },
+        ...{ peers: peer, hostList, log },
       });
       members.push(member);
       await member.start();
--- a/test/event_log_test.ts
+++ b/test/event_log_test.ts
@@ -83,6 +83,7 @@
     const membership = new GossipMembership({
       name: "p1",
       zone: "zagreb-a",
+      environment: "production",
       peers: {
         endpoint: "127.0.0.1:1",
         port: 1,
--- a/test/slow_process_test.ts
+++ b/test/slow_process_test.ts
@@ -58,7 +58,8 @@
     for (const [index, peer] of peers.entries()) {
       const { name, zone } = hosts[index]!;
       const member = new GossipMembership({
-        ...{ name, zone, peers: peer, hostList, log },
+        ...{ name, zone, environment: "production" },
+        ...{ peers: peer, hostList, log },
       });
       members.push(member);
       await member.start();
