Show the groups of each environment in the status

What operators saw: marjoramshed status asks all proxies of the host list. Where trial and production have a database of one name, it showed only the group of the environment with the higher term, and did not say which: the primary of trial could stand for that of production.

Cause: the reports were compared by the database alone.

Evidence: test failed before: 'the status has the groups of each environment among the listed proxies': the value [["trial-1", "p2"]] is not equal to [2 entries].

Why it works: reports are compared within their environment, which the table shows in a column of its own and the JSON as a field. Neither name has a slash.

--- a/src/commands/status_collection.ts
+++ b/src/commands/status_collection.ts
@@ -33,6 +33,8 @@
 
 /** Status of a database group as reported by one proxy. */
 export interface GroupStatusLine extends GroupReport {
+  /** Environment of the reporting proxy; each may have a database of the same name. */
+  readonly environment: string;
   /** Name of the reporting proxy. */
   readonly reportedBy: string;
 }
@@ -101,16 +103,17 @@
   return { line, report };
 }
 
-/** Selects for each database the report with the highest term; among equal terms, the first that names a primary. */
+/** Selects for each database of an environment the report with the highest term; among equal terms, the first that names a primary. */
 function chooseGroups(
   reports: readonly ProxyReport[],
 ): readonly GroupStatusLine[] {
   const chosen = new Map<string, GroupStatusLine>();
-  for (const report of reports) {
-    for (const group of report.groups) {
-      const known = chosen.get(group.database);
+  for (const { name: reportedBy, environment, groups } of reports) {
+    for (const group of groups) {
+      const key = `${environment}/${group.database}`;
+      const known = chosen.get(key);
       if (known && !supersedes(group, known)) continue;
-      chosen.set(group.database, { ...group, reportedBy: report.name });
+      chosen.set(key, { ...group, environment, reportedBy });
     }
   }
   return [...chosen.values()];
--- a/src/commands/status_command.ts
+++ b/src/commands/status_command.ts
@@ -147,6 +147,7 @@
   if (groups.length === 0) return "no groups reported";
   const rows = groups.flatMap((group) =>
     group.instances.map((instance) => [
+      group.environment,
       group.database,
       String(group.term),
       instance.name,
@@ -162,7 +163,16 @@
     ])
   );
   return formatTable([
-    ...["DATABASE", "TERM", "INSTANCE", "ZONE", "ROLE", "AGE", "NOTES"],
+    ...[
+      "ENVIRONMENT",
+      "DATABASE",
+      "TERM",
+      "INSTANCE",
+      "ZONE",
+      "ROLE",
+      "AGE",
+      "NOTES",
+    ],
     "REPORTED BY",
   ], rows);
 }
