Wait for conditions in place of fixed times

Each of these waited for a fixed time after which something must have happened, or bounded a time that load prolongs.

- session_drain_test: until the statement waits for the primary, not 20 ms.
- faults_test: the replicas have the writes before the primary goes, not 100 ms later; the host that is stopped is not ready while its transaction is open, not 300 ms after the signal.
A transaction may rest for about 1.2 s there, which bounds the wait.
- store_client_test: the change must come with the first question after the three pages, counted in calls (4), not within 1 s.
- clock_test: readings of two clocks are bracketed, so that pauses between them don't count; the uptime may differ by its resolution of 10 ms, not by 1010 ms.

--- a/test/clock_test.ts
+++ b/test/clock_test.ts
@@ -14,15 +14,17 @@
 const UPTIME_RESOLUTION_MS = 10;
 /** Shortest length that the log of suspensions writes, in ms. */
 const MIN_LENGTH_MS = 10;
-/** Longest delay that is expected between two readings of a busy machine. */
+/** Longest delay that is expected between the two readings at the start of the process's clock. */
 const MAX_DELAY_MS = 1_000;
 
 describe("the clock of the process", () => {
   it("starts with the monotonic clock and never goes back", () => {
-    const before = clock.now();
-    const now = performance.now();
-    expect(Math.abs(now - before) < MAX_DELAY_MS).toEqual(true);
-    let last = before;
+    const before = performance.now();
+    const now = clock.now();
+    const after = performance.now();
+    expect(now).toBeGreaterThan(before - MAX_DELAY_MS);
+    expect(now).toBeLessThan(after + MAX_DELAY_MS);
+    let last = now;
     for (let reading = 0; reading < 10_000; reading += 1) {
       const next = clock.now();
       expect(next >= last).toEqual(true);
@@ -31,11 +33,19 @@
   });
 
   it("advances like the uptime of the host, which counts suspensions", async () => {
-    const before = clock.now() - uptime() * 1_000;
+    const readUptime = () => {
+      const before = clock.now();
+      const uptimeMs = uptime() * 1_000;
+      return { before, uptimeMs, after: clock.now() };
+    };
+    const first = readUptime();
     await sleep(100);
-    const after = clock.now() - uptime() * 1_000;
-    expect(Math.abs(after - before) < UPTIME_RESOLUTION_MS + MAX_DELAY_MS)
-      .toEqual(true);
+    const last = readUptime();
+    const elapsed = last.uptimeMs - first.uptimeMs;
+    const min = last.before - first.after;
+    const max = last.after - first.before;
+    expect(elapsed).toBeGreaterThan(min - UPTIME_RESOLUTION_MS);
+    expect(elapsed).toBeLessThan(max + UPTIME_RESOLUTION_MS);
   });
 
   // Guards against ages and leases by a clock that stands still while the host is suspended, or that others set.
--- a/test/platform/faults_test.ts
+++ b/test/platform/faults_test.ts
@@ -50,7 +50,15 @@
           await caller.run(`WRITE before${turn} x`);
         }
         caller.close();
-        await sleep(100);
+        await eventually(
+          async () =>
+            (await deployment.members()).every(({ log }) =>
+              log.some(({ writes }) =>
+                writes.some(({ item }) => item === "before4")
+              )
+            ),
+          "the replicas have the writes",
+        );
         await deployment.order(fault, PRIMARY);
         const gap = await writeUntilDone(
           () => deployment.open(1, "booking"),
@@ -235,8 +243,7 @@
       await working.run("WRITE stopped x");
       const begun = clock.now();
       host!.signal("SIGTERM");
-      await sleep(300);
-      expect(await host!.ready()).toEqual(503);
+      await eventually(async () => await host!.ready() === 503, "not ready");
       expect((await working.run("WRITE stopped y")).error).toEqual(undefined);
       expect((await working.run("COMMIT")).error).toEqual(undefined);
       expect(await host!.ended()).toEqual(0);
--- a/test/platform/store_client_test.ts
+++ b/test/platform/store_client_test.ts
@@ -97,6 +97,7 @@
         rows.apply({ remove: [{ table: TABLE, key: "b" }] });
       };
       const values = new Map<string, string>();
+      let callsUntilSeen = Infinity;
       const follower = new TableFollower({
         store: client,
         table: TABLE,
@@ -112,6 +113,7 @@
           change: ({ key, value }) => {
             if (value === undefined) values.delete(key);
             else values.set(key, String(value));
+            callsUntilSeen = Math.min(callsUntilSeen, calls);
           },
           confirmed: () => {},
         },
@@ -121,9 +123,10 @@
       await eventually(
         () => values.get("a") === '"new"' && !values.has("b"),
         "the change is seen",
-        1_000,
       ).finally(() => follower.stop());
       await running;
+      // Three pages and the first question for changes.
+      expect(callsUntilSeen).toEqual(4);
     });
   });
 
--- a/test/session_drain_test.ts
+++ b/test/session_drain_test.ts
@@ -13,6 +13,7 @@
 import { GrammarClassifier } from "../src/plugins/classification/grammar_classifier.ts";
 import { CallerSession } from "../src/plugins/callers/session.ts";
 import { SessionState } from "../src/plugins/callers/session_state.ts";
+import { eventually } from "./support/eventually.ts";
 
 function createSocket(written: Buffer[]): Duplex {
   return new Duplex({
@@ -33,6 +34,7 @@
   const classifier = new GrammarClassifier();
   await classifier.start();
   const socket = createSocket(written);
+  let isWaiting = false;
   const context = {
     classifier,
     configuration: {
@@ -42,7 +44,12 @@
         queue: { deadline: 10_000 },
       }),
     },
-    health: { primary: () => new Promise(() => {}) },
+    health: {
+      primary: () => {
+        isWaiting = true;
+        return new Promise(() => {});
+      },
+    },
     metrics: { recordRefusal() {} },
     log: { write() {} },
   } as unknown as CallerContext;
@@ -55,7 +62,7 @@
   const ended = new Promise<void>((resolve) => socket.once("finish", resolve));
   void session.run();
   socket.push(serialize.query("INSERT INTO t VALUES (1)"));
-  await new Promise((resolve) => setTimeout(resolve, 20));
+  await eventually(() => isWaiting, "the statement waits for the primary");
   return { session, ended };
 }
 
