Run health_test and proposers_test in virtual time

Both run on fakes in one process; their deadlines of 0.3 s and 20 s, and ages that were compared with elapsed time, depended on how fast the machine was. No check is changed.

--- a/test/health_test.ts
+++ b/test/health_test.ts
@@ -1,4 +1,4 @@
-import { afterEach, beforeEach, describe, it } from "node:test";
+import { describe, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
 import { Registry } from "prom-client";
@@ -11,6 +11,7 @@
   createStatus,
   FakeDatabaseGroup,
 } from "./fixtures/fake_database_group.ts";
+import { itInVirtualTime } from "./platform/fixtures/virtual_time.ts";
 import { eventually } from "./support/eventually.ts";
 import { createSuspension } from "./support/suspension.ts";
 import {
@@ -31,7 +32,7 @@
   let hostList: FakeHostList;
   let health: HealthMonitor;
 
-  beforeEach(async () => {
+  async function setUp(): Promise<void> {
     control = new FakeDatabaseGroup();
     control.statuses.set("a", createStatus({ role: "primary" }));
     control.statuses.set("b", createStatus({ source: "a" }));
@@ -45,9 +46,20 @@
       log: createTestLog(),
     });
     await health.start();
-  });
+  }
 
-  afterEach(() => health.stop());
+  const it = (
+    name: string,
+    work: (context: TestContext) => void | Promise<void>,
+  ) =>
+    itInVirtualTime(name, async (context) => {
+      await setUp();
+      try {
+        await work(context);
+      } finally {
+        await health.stop();
+      }
+    });
 
   const shortDeadline = () => clock.now() + SHORT_WAIT_MS;
   const longDeadline = () => clock.now() + LONG_WAIT_MS;
--- a/test/proposers_test.ts
+++ b/test/proposers_test.ts
@@ -1,4 +1,4 @@
-import { afterEach, beforeEach, describe, it } from "node:test";
+import { describe } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
 import { clock } from "../src/kernel/clock.ts";
@@ -18,6 +18,7 @@
   FakeMembership,
   FakeTableService,
 } from "./fixtures/fake_platform.ts";
+import { itInVirtualTime } from "./platform/fixtures/virtual_time.ts";
 
 const DATABASE = "booking";
 const DEADLINE_MS = 20_000;
@@ -29,18 +30,24 @@
   let tableService: FakeTableService;
   let stops: (() => Promise<void>)[];
 
-  beforeEach(() => {
+  function setUp(): void {
     control = new FakeDatabaseGroup();
     tableService = new FakeTableService();
     stops = [];
     control.statuses.set("a", createStatus({ role: "primary" }));
     control.statuses.set("b", createStatus({ source: "a" }));
     control.statuses.set("c", createStatus({ source: "a" }));
-  });
+  }
 
-  afterEach(async () => {
-    for (const stop of stops) await stop();
-  });
+  const it = (name: string, work: () => Promise<void>) =>
+    itInVirtualTime(name, async () => {
+      setUp();
+      try {
+        await work();
+      } finally {
+        for (const stop of stops) await stop();
+      }
+    });
 
   const startProxy = async (name: string) => {
     const names = ["p1", "p2", "p3", "p4"];
