Use a connection to an instance only for its group

What callers saw: nothing so far. If the entry of an instance named another service under the same id, address and start, as another writer's may, the statements of that service's databases went to the connections that were open for the old one, and were run by the old service.

Cause: the connections are kept by the id of the instance, and were dropped when the address or the start changed, but not when the group did. A connection says the group only when it is opened.

Evidence: test failed before: 'a connection to an instance is used only for the group that it was opened for': the value ["STARTUP..."] is not equal to ["STARTUP...", "STARTUP..."] (one connection for both groups).

Why it works: an entry with another group gets connections of its own, whose opening names the group, so that an instance of another group answers MISROUTED; the old connections are closed when they are released.

--- a/src/plugins/connections/upstream_pools.ts
+++ b/src/plugins/connections/upstream_pools.ts
@@ -177,7 +177,7 @@
     const instance = this.#options.directory.get(id);
     const known = this.#entries.get(id);
     if (!instance) return known;
-    if (known && isSameProcess(known.instance, instance)) return known;
+    if (known && isSameTarget(known.instance, instance)) return known;
     if (known) this.remove(id);
     const entry = this.#createEntry(instance);
     this.#entries.set(id, entry);
@@ -253,8 +253,10 @@
   return createFailure(ResultCodes.SHUTTING_DOWN, "this proxy is stopping");
 }
 
-function isSameProcess(a: ListedInstance, b: ListedInstance): boolean {
-  return a.host === b.host && a.port === b.port && a.startedAt === b.startedAt;
+/** Whether both entries describe one process of one group, so that connections to it may be kept. */
+function isSameTarget(a: ListedInstance, b: ListedInstance): boolean {
+  return a.group === b.group && a.host === b.host && a.port === b.port &&
+    a.startedAt === b.startedAt;
 }
 
 /** Provides connections to instances by id. */
