Take back the looser checks of four tests

The former checks are back; they can fail beside heavy load, which docs/real_time_tests.md lists for checks of this kind.

--- a/test/callers_test.ts
+++ b/test/callers_test.ts
@@ -17,7 +17,6 @@
   connectCaller,
   failureOf,
 } from "./support/callers.ts";
-import { eventually } from "./support/eventually.ts";
 
 const DATABASE = "booking";
 const APPLY_LAG_MS = 60;
@@ -215,8 +214,7 @@
       const canceled = failureOf(
         waiting.query("INSERT INTO notes (text) VALUES ('canceled')"),
       );
-      let isCanceled = false;
-      void canceled.then(() => isCanceled = true);
+      await delay(300);
       const { host, port } = stack.proxies[0]!;
       const key = waiting as unknown as {
         processID: number;
@@ -227,11 +225,7 @@
       packet.writeInt32BE(80877102, 4);
       packet.writeInt32BE(key.processID, 8);
       packet.writeInt32BE(key.secretKey, 12);
-      // A request that arrives before the statement waits has no effect.
-      await eventually(() => {
-        connect({ host, port }).end(packet);
-        return isCanceled;
-      }, "the statement is canceled");
+      connect({ host, port }).end(packet);
       expect((await canceled).code).toEqual("57014");
       await blocker.query("ROLLBACK");
       expect(await countNotes("canceled")).toEqual(0);
--- a/test/connections_test.ts
+++ b/test/connections_test.ts
@@ -21,8 +21,6 @@
 const LIMIT = 20;
 const REQUEST_TIMEOUT_MS = 30_000;
 const SHORT_DEADLINE_MS = 200;
-/** Well below the 20 s for which the cancelled statement sleeps. */
-const CANCEL_WITHIN_MS = 10_000;
 /** Time without a further failure after which the shares count as settled. */
 const SETTLE_MS = 500;
 
@@ -157,19 +155,10 @@
     it("can be cancelled", async () => {
       const surroundings = await create();
       const connection = await acquireOne(surroundings);
-      let answer = "";
-      void runQuery(connection, "SELECT pg_sleep(20)")
-        .then((text) => answer = text);
-      // A request that arrives before the statement has begun has no effect.
-      await eventually(
-        async () => {
-          await surroundings.connections.cancel(connection);
-          return answer !== "";
-        },
-        "the statement is cancelled",
-        CANCEL_WITHIN_MS,
-      );
-      expect(answer).toInclude("57014");
+      const answer = runQuery(connection, "SELECT pg_sleep(20)");
+      await new Promise((resolve) => setTimeout(resolve, SHORT_DEADLINE_MS));
+      await surroundings.connections.cancel(connection);
+      expect(await answer).toInclude("57014");
       connection.release();
     });
   });
--- a/test/platform/faults_test.ts
+++ b/test/platform/faults_test.ts
@@ -243,7 +243,8 @@
       await working.run("WRITE stopped x");
       const begun = clock.now();
       host!.signal("SIGTERM");
-      await eventually(async () => await host!.ready() === 503, "not ready");
+      await sleep(300);
+      expect(await host!.ready()).toEqual(503);
       expect((await working.run("WRITE stopped y")).error).toEqual(undefined);
       expect((await working.run("COMMIT")).error).toEqual(undefined);
       expect(await host!.ended()).toEqual(0);
--- a/test/platform/store_client_test.ts
+++ b/test/platform/store_client_test.ts
@@ -121,6 +121,7 @@
       await eventually(
         () => values.get("a") === '"new"' && !values.has("b"),
         "the change is seen",
+        1_000,
       ).finally(() => follower.stop());
       await running;
     });
