--- a/test/platform/fields_test.ts
+++ b/test/platform/fields_test.ts
@@ -19,6 +19,7 @@
 } from "../../platform/lines.ts";
 import type { ResultCode } from "../../src/kernel/result_codes.ts";
 import { noPrimary } from "../../src/plugins/sessions/outcome.ts";
+import { localInstance } from "./fixtures/local_instance.ts";
 
 const ADDRESS = "127.0.0.1";
 
@@ -206,16 +207,10 @@
           socket.write("READY I 1.1\r\n");
         });
       });
-      const opened = await new LineConnector(name).open({
-        id: "i-č",
-        group: "kotačić",
-        host: ADDRESS,
-        port,
-        zone: "zagreb-a",
-        leaving: false,
-        claimsPrimary: true,
-        startedAt: 0,
-      }, 1_000);
+      const opened = await new LineConnector(name).open(
+        localInstance(port, { id: "i-č", group: "kotačić" }),
+        1_000,
+      );
       const owner = { onReleased: () => {}, onClosed: () => {} };
       opened._unsafeUnwrap()(owner).destroy();
       expect(lines.length).toEqual(1);
--- a/test/platform/forwarded_text_test.ts
+++ b/test/platform/forwarded_text_test.ts
@@ -17,6 +17,7 @@
   CallerStatement,
 } from "../../src/plugins/sessions/caller.ts";
 import type { UpstreamLink } from "../../src/plugins/upstream/link.ts";
+import { localInstance } from "./fixtures/local_instance.ts";
 
 const SEED = 20_261_206;
 const ADDRESS = "127.0.0.1";
@@ -104,16 +105,10 @@
   before(async () => {
     await new Promise<void>((resolve) => server.listen(0, ADDRESS, resolve));
     const { port } = server.address() as AddressInfo;
-    const opened = await new LineConnector("p1").open({
-      id: "i-1",
-      group: "ledger",
-      host: ADDRESS,
-      port,
-      zone: "zagreb-a",
-      leaving: false,
-      claimsPrimary: true,
-      startedAt: 0,
-    }, 1_000);
+    const opened = await new LineConnector("p1").open(
+      localInstance(port),
+      1_000,
+    );
     link = opened._unsafeUnwrap()({
       onReleased: () => {},
       onClosed: () => {},
--- a/test/platform/held_statements_test.ts
+++ b/test/platform/held_statements_test.ts
@@ -20,6 +20,7 @@
 import { sleep } from "../../src/utils/sleep.ts";
 import { eventually } from "../support/eventually.ts";
 import { itInVirtualTime } from "./fixtures/virtual_time.ts";
+import { localInstance } from "./fixtures/local_instance.ts";
 
 const ADDRESS = "127.0.0.1";
 const DEADLINE_MS = 50;
@@ -50,16 +51,10 @@
     await new Promise<void>((resolve) => server.listen(0, ADDRESS, resolve));
     const address = server.address();
     if (typeof address !== "object" || !address) throw new Error("no port");
-    const opened = await new LineConnector("p1").open({
-      id: "i-1",
-      group: "ledger",
-      host: ADDRESS,
-      port: address.port,
-      zone: "zagreb-a",
-      leaving: false,
-      claimsPrimary: true,
-      startedAt: 0,
-    }, 1_000);
+    const opened = await new LineConnector("p1").open(
+      localInstance(address.port),
+      1_000,
+    );
     const link = opened._unsafeUnwrap()(owner);
     link.markInUse();
     return link;
--- a/test/platform/instance_group_test.ts
+++ b/test/platform/instance_group_test.ts
@@ -8,6 +8,7 @@
 import { UpstreamPools } from "../../src/plugins/connections/upstream_pools.ts";
 import { InstanceDirectory } from "../../src/plugins/deployment/instance_directory.ts";
 import { ActiveRoutes } from "../../src/plugins/deployment/routes.ts";
+import { localInstance } from "./fixtures/local_instance.ts";
 
 const TIMEOUT_MS = 1_000;
 
@@ -35,16 +36,7 @@
   });
   context.after(() => pools.stop());
   for (const group of ["ledger", "stock"]) {
-    directory.put({
-      id: "i-1",
-      group,
-      host: "127.0.0.1",
-      port,
-      zone: "zagreb-a",
-      leaving: false,
-      claimsPrimary: true,
-      startedAt: 1,
-    });
+    directory.put(localInstance(port, { group }));
     const link = await pools.acquire("i-1", "high", clock.now() + TIMEOUT_MS);
     link._unsafeUnwrap().release();
   }
--- a/test/platform/late_rejection_test.ts
+++ b/test/platform/late_rejection_test.ts
@@ -11,6 +11,7 @@
 import type { UpstreamLink } from "../../src/plugins/upstream/link.ts";
 import { sleep } from "../../src/utils/sleep.ts";
 import { readCrlfLines } from "../../standins/common/crlf_lines.ts";
+import { localInstance } from "./fixtures/local_instance.ts";
 
 const ADDRESS = "127.0.0.1";
 const ANSWER_DELAY_MS = 60;
@@ -44,16 +45,7 @@
     servers.push(server);
     await new Promise<void>((resolve) => server.listen(0, ADDRESS, resolve));
     const { port } = server.address() as AddressInfo;
-    const opened = await new LineConnector("p1").open({
-      id: "i-1",
-      group: "ledger",
-      host: ADDRESS,
-      port,
-      zone: "zagreb-a",
-      leaving: false,
-      claimsPrimary: true,
-      startedAt: 0,
-    });
+    const opened = await new LineConnector("p1").open(localInstance(port));
     const counts = { released: 0 };
     const link = opened._unsafeUnwrap()({
       onReleased: () => {
--- a/test/platform/malformed_input_test.ts
+++ b/test/platform/malformed_input_test.ts
@@ -21,6 +21,7 @@
 import { clock } from "../../src/kernel/clock.ts";
 import type { ListedInstance } from "../../src/plugins/deployment/instance_directory.ts";
 import { eventually } from "../support/eventually.ts";
+import { localInstance } from "./fixtures/local_instance.ts";
 
 const SEED = 20_261_204;
 const ADDRESS = "127.0.0.1";
@@ -166,16 +167,7 @@
 
   describe("from an instance", () => {
     async function openLink(port: number) {
-      const target: ListedInstance = {
-        id: "i-1",
-        group: "ledger",
-        host: ADDRESS,
-        port,
-        zone: "zagreb-a",
-        leaving: false,
-        claimsPrimary: true,
-        startedAt: 0,
-      };
+      const target: ListedInstance = localInstance(port);
       const opened = await new LineConnector("p1").open(target, 1_000);
       const owner = { onReleased: () => {}, onClosed: () => {} };
       return opened._unsafeUnwrap()(owner);
@@ -210,16 +202,7 @@
     });
 
     it("is an error of the attempt, not an exception, when the address is invalid", async () => {
-      const target = {
-        id: "i-1",
-        group: "ledger",
-        host: ADDRESS,
-        port: 99_999,
-        zone: "zagreb-a",
-        leaving: false,
-        claimsPrimary: true,
-        startedAt: 0,
-      };
+      const target = localInstance(99_999);
       const opened = await new LineConnector("p1").open(target, 100);
       expect(opened.isErr()).toEqual(true);
     });
