Let the launcher of a stack repeat an operation that found a service away

The launcher repeats the same operation up to five times, as an operator would; the operation's id makes that harmless. No check changes.

--- a/standins/stack/operator.ts
+++ b/standins/stack/operator.ts
@@ -7,6 +7,7 @@
 import { randomUUID } from "node:crypto";
 import pg from "pg";
 import { createEventLog } from "../../src/kernel/events.ts";
+import { type ResultCode, ResultCodes } from "../../src/kernel/result_codes.ts";
 import { Revisions } from "../../src/plugins/document/revisions.ts";
 import type { Host } from "../../src/plugins/host_list/host_list.ts";
 import { S3ObjectStore } from "../../src/plugins/object_store/s3_object_store.ts";
@@ -14,6 +15,7 @@
 import type { Endpoint } from "./address_space.ts";
 import { ENVIRONMENT } from "./example.ts";
 import { UPSTREAM_USER } from "./launcher.ts";
+import { sleep } from "../../src/utils/sleep.ts";
 import { urlOf } from "./routes.ts";
 
 const DEFAULT_NAME = "marjoramshed";
@@ -23,6 +25,15 @@
 process.env["AWS_SDK_JS_NODE_VERSION_SUPPORT_WARNING_DISABLED"] = "true";
 
 const QUERY_TIMEOUT_MS = 5_000;
+
+/** Failures of a service that has only just been started and answers too late. */
+const AWAY: ReadonlySet<ResultCode> = new Set([
+  ResultCodes.TABLE_SERVICE_UNAVAILABLE,
+  ResultCodes.OBJECT_STORE_UNAVAILABLE,
+]);
+const ATTEMPTS = 5;
+const RETRY_DELAY_MS = 500;
+
 const TRIAL_ENVIRONMENT = "trial";
 
 /**
@@ -48,18 +59,27 @@
   });
   try {
     const revisions = new Revisions({ table, objects });
-    const operation = () => ({ id: randomUUID(), operator: "stack" });
-    const head = await revisions.put(TRIAL_ENVIRONMENT, text, operation())
-      .andThen(() =>
-        revisions.promote(TRIAL_ENVIRONMENT, ENVIRONMENT, operation())
-      );
-    if (head.isErr()) throw new Error(head.error.message);
-    return head.value.number;
+    const [put, promote] = [createOperation(), createOperation()];
+    for (let attempt = 1;; attempt += 1) {
+      // The same operations again, so that a repeated one has its first outcome.
+      const head = await revisions.put(TRIAL_ENVIRONMENT, text, put)
+        .andThen(() =>
+          revisions.promote(TRIAL_ENVIRONMENT, ENVIRONMENT, promote)
+        );
+      if (head.isOk()) return head.value.number;
+      const isAway = AWAY.has(head.error.code);
+      if (!isAway || attempt === ATTEMPTS) throw new Error(head.error.message);
+      await sleep(RETRY_DELAY_MS);
+    }
   } finally {
     await Promise.all([table.stop(), objects.stop()]);
   }
 }
 
+function createOperation() {
+  return { id: randomUUID(), operator: "stack" };
+}
+
 /** Replaces the whole host list. */
 export function putHosts(
   hostList: Endpoint,
