Give a stack's processes ports that nothing else takes

The launcher took that port from those that the system gives away, released it, and the proxy bound it seconds later.

Ports now lie below that range and are handed out in turn. No check changes. What remains: a proxy that can't listen should end at once and say so.

--- a/standins/stack/address_space.ts
+++ b/standins/stack/address_space.ts
@@ -54,14 +54,23 @@
   );
 }
 
-/** Finds a TCP port that is free on an address. */
+/** Ports below those that the system gives to outgoing connections and to listeners without a port. */
+const FIRST_PORT = 10_000;
+const LAST_PORT = 31_999;
+
+let nextPort = FIRST_PORT;
+
+/** Finds a TCP port that is free on an address, and that nothing takes before its process listens. */
 export async function findFreePort(host: string): Promise<number> {
-  const server = createServer().listen(0, host);
-  await once(server, "listening");
-  const { port } = server.address() as { port: number };
-  server.close();
-  await once(server, "close");
-  return port;
+  for (;;) {
+    const port = nextPort;
+    nextPort = port === LAST_PORT ? FIRST_PORT : port + 1;
+    const server = await tryListen(host, port);
+    if (!server) continue;
+    server.close();
+    await once(server, "close");
+    return port;
+  }
 }
 
 function tryListen(host: string, port: number): Promise<Server | undefined> {
