Give callers an account by their key

Change: the configuration gives an AccountDirectory; a session resolves its key for each statement, so a withdrawn key ends it with the next version. A link request and an opening carry the account; pools don't use it yet.

--- a/src/kernel/result_codes.ts
+++ b/src/kernel/result_codes.ts
@@ -101,6 +101,8 @@
     1,
   ),
   SESSION_TOO_LARGE: code(416, "session-too-large", "53400", "not run", 1),
+  KEY_REJECTED: code(417, "key-rejected", "28000", "not run", 1),
+  QUOTA_EXCEEDED: code(418, "quota-exceeded", "53400", "not run", 1),
   PRIMARY_ABSENT: code(501, "primary-absent", "MS501", "not run", 1),
   PRIMARY_UNCONFIRMED: code(502, "primary-unconfirmed", "MS502", "not run", 1),
   OUTCOME_UNKNOWN: code(503, "outcome-unknown", "08007", "outcome unknown", 1),
--- a/src/plugins/connections/upstream_pools.ts
+++ b/src/plugins/connections/upstream_pools.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { err, errAsync, type Result, type ResultAsync } from "neverthrow";
+import { errAsync, type ResultAsync } from "neverthrow";
 import { clock } from "../../kernel/clock.ts";
 import { type EventLog, Events } from "../../kernel/events.ts";
 import {
@@ -16,21 +16,29 @@
   ListedInstance,
 } from "../deployment/instance_directory.ts";
 import type { ActiveRoutes } from "../deployment/routes.ts";
-import type { LinkResult, UpstreamLink } from "../upstream/link.ts";
-import type { Priority } from "./connections.ts";
+import type { DirectLink, UpstreamLink } from "../upstream/link.ts";
+import type { ConnectionUse } from "./connections.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { DEMAND_SAMPLE_MS } from "./demand_meter.ts";
 import { type IdlePolicy, InstancePool } from "./instance_pool.ts";
+import type { LinkPools, LinkRequest } from "./link_pools.ts";
 import { type ReleaseSlot, TransactionLimit } from "./transaction_limit.ts";
 import type { MemberFactory } from "./pool_member.ts";
 
 /** Opens connections to instances. */
 export interface InstanceConnector {
-  /** Opens a connection within `timeout` ms; the connector has a default. */
   open(
     instance: ListedInstance,
-    timeout?: number,
-  ): ResultAsync<MemberFactory<UpstreamLink>, Failure>;
+    options?: OpeningOptions,
+  ): ResultAsync<MemberFactory<DirectLink>, Failure>;
+}
+
+/** How a connection is opened. */
+export interface OpeningOptions {
+  /** Account that the connection belongs to for its life; undefined for the proxy itself. */
+  readonly account?: string;
+  /** Time limit in ms; the connector has a default. */
+  readonly timeout?: number;
 }
 
 /** Dependencies of the pools. */
@@ -80,13 +88,13 @@
 const QUEUE_LENGTH = 400;
 
 interface Entry {
-  readonly pool: InstancePool<UpstreamLink>;
+  readonly pool: InstancePool<DirectLink>;
   readonly transactions: TransactionLimit;
   readonly instance: ListedInstance;
 }
 
 /** Connection pools by instance id. */
-export class UpstreamPools {
+export class UpstreamPools implements LinkPools {
   readonly #options: UpstreamPoolsOptions;
   readonly #entries = new Map<string, Entry>();
   /** Monotonic ms of the last report of scarce connections, by instance. */
@@ -114,42 +122,27 @@
     this.#entries.clear();
   }
 
-  /** Acquires a connection to an instance; the failure's code tells whether it is unreachable or overloaded. */
-  acquire(
-    id: string,
-    priority: Priority,
-    deadline: number,
-    usefulUntil?: number,
-  ): ResultAsync<UpstreamLink, Failure> {
+  acquire(request: LinkRequest): ResultAsync<UpstreamLink, Failure> {
     if (this.#stopped) return errAsync(stopping());
-    const entry = this.#entry(id);
+    const entry = this.#entry(request.instance);
     if (!entry) {
       return errAsync(createFailure(
         ResultCodes.UPSTREAM_UNREACHABLE,
-        `instance ${id} is not listed`,
+        `instance ${request.instance} is not listed`,
       ));
     }
-    const { database, instance } = entry.pool.target;
-    return entry.pool.acquire({
-      database,
-      instance,
-      priority,
-      deadline,
-      usefulUntil,
-    });
+    const { database } = entry.pool.target;
+    return entry.pool.acquire({ database, ...request });
   }
 
-  /** Acquires a transaction slot at an instance; undefined at the deadline (monotonic ms) or if the instance is not listed. */
   async acquireTransactionSlot(
-    id: string,
-    priority: Priority,
-    deadline: number,
+    { instance, priority, deadline }: LinkRequest,
   ): Promise<ReleaseSlot | undefined> {
     if (this.#stopped) return undefined;
-    return await this.#entry(id)?.transactions.acquire(priority, deadline);
+    const entry = this.#entry(instance);
+    return await entry?.transactions.acquire(priority, deadline);
   }
 
-  /** Number of connections in use plus queued requests of this proxy at an instance. */
   outstanding(id: string): number {
     return this.#entries.get(id)?.pool.load ?? 0;
   }
@@ -163,13 +156,11 @@
     this.#entries.delete(id);
   }
 
-  /** Closes the connections in use of an instance; their users see them as lost. */
   destroyBusy(id: string): void {
     this.#entries.get(id)?.pool.destroyBusy();
   }
 
-  /** Connection counts of all instances. */
-  use(): readonly (InstancePool<UpstreamLink>["use"])[] {
+  use(): readonly ConnectionUse[] {
     return [...this.#entries.values()].map(({ pool }) => pool.use);
   }
 
@@ -187,7 +178,7 @@
   #createEntry(instance: ListedInstance): Entry {
     const { connector, log, onFailure } = this.#options;
     const transactions = new TransactionLimit(MIN_SHARE_CONNECTIONS);
-    const pool = new InstancePool<UpstreamLink>({
+    const pool = new InstancePool<DirectLink>({
       target: { database: instance.group, instance: instance.id },
       queueLength: QUEUE_LENGTH,
       log: (kind, fields) =>
@@ -205,7 +196,7 @@
   }
 
   /** Updates the share and the idle policy of a pool; returns the share. */
-  #updateShare(pool: InstancePool<UpstreamLink>, group: string): number {
+  #updateShare(pool: InstancePool<DirectLink>, group: string): number {
     const settings = this.#options.routes.table?.groups.get(group);
     const limit = settings?.connectionsPerInstance ?? MIN_SHARE_CONNECTIONS;
     const evenShare = Math.floor(limit * OVERCOMMIT_FACTOR / this.#proxyCount);
@@ -235,7 +226,7 @@
   }
 
   /** Logs the connection counts of an instance while statements wait for it. */
-  #reportScarcity(pool: InstancePool<UpstreamLink>, now: number): void {
+  #reportScarcity(pool: InstancePool<DirectLink>, now: number): void {
     const { instance, database, ...use } = pool.use;
     if (use.waiting === 0) return;
     const last = this.#reportedAt.get(instance) ?? -Infinity;
@@ -258,20 +249,3 @@
   return a.group === b.group && a.host === b.host && a.port === b.port &&
     a.startedAt === b.startedAt;
 }
-
-/** Provides connections to instances by id. */
-export type LinkProvider = Pick<UpstreamPools, "acquire">;
-
-/** Runs `work` on a connection to an instance; releases the connection unless the work failed with `silent`, when the connection may not be idle. */
-export async function withLink<T>(
-  pools: LinkProvider,
-  id: string,
-  deadline: number,
-  work: (link: UpstreamLink) => LinkResult<T>,
-): Promise<Result<T, { readonly reason: string }>> {
-  const acquired = await pools.acquire(id, "high", deadline);
-  if (acquired.isErr()) return err({ reason: acquired.error.message });
-  const outcome = await work(acquired.value);
-  if (outcome.isOk() || !outcome.error.silent) acquired.value.release();
-  return outcome;
-}
--- a/src/plugins/deployment/routes.ts
+++ b/src/plugins/deployment/routes.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { AccountDirectory } from "../accounts/accounts.ts";
 import type { Priority } from "../connections/connections.ts";
 
 /** Consistency guarantee for the reads of a route. */
@@ -26,6 +27,10 @@
   /** Time within which a whole operation has its full value for the caller, in ms. */
   readonly targetLatency: number;
   readonly priority: Priority;
+  /** Order among the routes of an instance whose work is scheduled; 0 is served first. */
+  readonly rank: number;
+  /** Whether callers need no key. */
+  readonly isPublic: boolean;
 }
 
 /** A database group that is the target of routes. */
@@ -40,6 +45,8 @@
   readonly version: number;
   readonly routes: ReadonlyMap<string, Route>;
   readonly groups: ReadonlyMap<string, GroupSettings>;
+  /** Undefined if the configuration knows no accounts, so that callers need no key. */
+  readonly accounts?: AccountDirectory;
   /** Idle time after which a transaction may be terminated, in ms. */
   readonly transactionIdleTimeout: number;
   /** Timeout for a caller's first message, in ms. */
@@ -68,8 +75,4 @@
     this.#listeners.add(listener);
     return () => this.#listeners.delete(listener);
   }
-
-  route(database: string): Route | undefined {
-    return this.#table?.routes.get(database);
-  }
 }
--- a/src/plugins/leadership/candidate_search.ts
+++ b/src/plugins/leadership/candidate_search.ts
@@ -9,7 +9,7 @@
 import { clock } from "../../kernel/clock.ts";
 import { type EventLog, Events } from "../../kernel/events.ts";
 import { sleep } from "../../utils/sleep.ts";
-import { type LinkProvider, withLink } from "../connections/upstream_pools.ts";
+import { type LinkProvider, withLink } from "../connections/link_pools.ts";
 import type {
   InstanceDirectory,
   ListedInstance,
--- a/src/plugins/leadership/instance_rounds.ts
+++ b/src/plugins/leadership/instance_rounds.ts
@@ -9,7 +9,7 @@
 import { sleep } from "../../utils/sleep.ts";
 import { clock } from "../../kernel/clock.ts";
 import { type EventLog, Events } from "../../kernel/events.ts";
-import { type LinkProvider, withLink } from "../connections/upstream_pools.ts";
+import { type LinkProvider, withLink } from "../connections/link_pools.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
 import type { LinkStatus } from "../upstream/link.ts";
 import type { Leader, StatusRounds } from "./group_leadership.ts";
--- a/src/plugins/leadership/primary_change.ts
+++ b/src/plugins/leadership/primary_change.ts
@@ -13,7 +13,7 @@
 import { clock } from "../../kernel/clock.ts";
 import { type EventLog, Events } from "../../kernel/events.ts";
 import { sleep } from "../../utils/sleep.ts";
-import type { LinkProvider } from "../connections/upstream_pools.ts";
+import type { LinkProvider } from "../connections/link_pools.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
 import { formatPosition } from "../upstream/position.ts";
 import {
--- a/src/plugins/leadership/succession.ts
+++ b/src/plugins/leadership/succession.ts
@@ -8,10 +8,8 @@
 import { type EventLog, Events } from "../../kernel/events.ts";
 import { ResultCodes } from "../../kernel/result_codes.ts";
 import { logUnexpected } from "../../kernel/unexpected_errors.ts";
-import type {
-  InstanceConnector,
-  UpstreamPools,
-} from "../connections/upstream_pools.ts";
+import type { LinkPools } from "../connections/link_pools.ts";
+import type { InstanceConnector } from "../connections/upstream_pools.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
 import type { ActiveRoutes } from "../deployment/routes.ts";
 import type {
@@ -51,7 +49,7 @@
   readonly routes: ActiveRoutes;
   readonly directory: InstanceDirectory;
   readonly coordination: Coordination;
-  readonly pools: UpstreamPools;
+  readonly pools: LinkPools;
   readonly connector: InstanceConnector;
   readonly rounds: StatusRounds;
   readonly order: PromotionOrder;
@@ -292,7 +290,9 @@
     instance: Parameters<InstanceConnector["open"]>[0],
     startedAt: number,
   ): Promise<Result<void, "refused" | "silent">> {
-    const opened = await connector.open(instance, PROBE_TIMEOUT_MS);
+    const opened = await connector.open(instance, {
+      timeout: PROBE_TIMEOUT_MS,
+    });
     if (opened.isErr()) {
       const { code } = opened.error;
       // The instance is alive, but has no slot for another connection.
--- a/src/plugins/metrics/metrics_server.ts
+++ b/src/plugins/metrics/metrics_server.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, type Server } from "node:http";
 import type { EventLog } from "../../kernel/events.ts";
-import type { UpstreamPools } from "../connections/upstream_pools.ts";
+import type { LinkPools } from "../connections/link_pools.ts";
 import {
   closeServer,
   type ServerAddress,
@@ -18,7 +18,7 @@
 /** Sources of the exported metrics. */
 export interface MetricsSources {
   readonly requests: RequestCounters;
-  readonly pools: Pick<UpstreamPools, "use">;
+  readonly pools: Pick<LinkPools, "use">;
   /** Number of connected callers. */
   readonly callers: () => number;
   /** Version of the configuration in force; 0 for none. */
--- a/src/plugins/placement/read_placement.ts
+++ b/src/plugins/placement/read_placement.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import { clock } from "../../kernel/clock.ts";
-import type { UpstreamPools } from "../connections/upstream_pools.ts";
+import type { LinkPools } from "../connections/link_pools.ts";
 import type {
   InstanceDirectory,
   ListedInstance,
@@ -95,13 +95,13 @@
 /** Chooses instances by distance, load and lag. */
 export class ReadPlacement {
   readonly #directory: Pick<InstanceDirectory, "group">;
-  readonly #pools: Pick<UpstreamPools, "outstanding">;
+  readonly #pools: Pick<LinkPools, "outstanding">;
   readonly #location: ProxyLocation;
   readonly #observations = new Map<string, Observation>();
 
   constructor(
     directory: Pick<InstanceDirectory, "group">,
-    pools: Pick<UpstreamPools, "outstanding">,
+    pools: Pick<LinkPools, "outstanding">,
     location: ProxyLocation,
   ) {
     this.#directory = directory;
--- a/src/plugins/sessions/caller_session.ts
+++ b/src/plugins/sessions/caller_session.ts
@@ -32,6 +32,7 @@
   SessionState,
   type Task,
 } from "./session_context.ts";
+import { type SessionOrigin, SessionTasks } from "./session_tasks.ts";
 import {
   type DrainableSession,
   type SessionPhase,
@@ -53,13 +54,15 @@
 export class CallerSession implements DrainableSession {
   readonly #context: SessionContext;
   readonly #channel: CallerChannel;
-  readonly #database: string;
+  readonly #tasks: SessionTasks;
   readonly #session = new SessionState();
   /** The transaction that is open or being opened; if opening fails, the next statement marks it as failed. */
   #transaction: PendingTransaction | undefined;
   #failed = false;
   /** Route of the open transaction; a new configuration does not change it. */
   #route: Route | undefined;
+  /** Whether the caller's key is no longer that of an account, which ends the session. */
+  #isRejected = false;
   #phase: SessionPhase = "open";
   /** The statement that is running. */
   #current: CallerRequest | undefined;
@@ -70,11 +73,11 @@
   constructor(
     context: SessionContext,
     channel: CallerChannel,
-    database: string,
+    origin: SessionOrigin,
   ) {
     this.#context = context;
     this.#channel = channel;
-    this.#database = database;
+    this.#tasks = new SessionTasks(context, origin, this.#session);
   }
 
   get isBusy(): boolean {
@@ -107,7 +110,7 @@
       await this.#handle(request);
       this.#current = undefined;
       this.#lastAnswerAt = clock.now();
-      if (this.#endsAfter(request.statement)) break;
+      if (this.#isRejected || this.#endsAfter(request.statement)) break;
       this.#startIdleTimer();
     }
     this.endTransaction();
@@ -233,12 +236,13 @@
 
   /** Resolves to true when no earlier statement of the session can run any more; otherwise refuses the request. */
   async #waitForRunning(request: CallerRequest): Promise<boolean> {
-    const task = this.#createTask(request);
-    if (!task) {
-      this.#refuseUnknownDatabase(request);
+    const task = this.#tasks.create(request, this.#openRoute);
+    if (task.isErr()) {
+      this.#refuse(request, task.error);
       return false;
     }
-    if (await this.#session.waitForRunning(task.usefulUntil)) return true;
+    const { usefulUntil } = task.value;
+    if (await this.#session.waitForRunning(usefulUntil)) return true;
     const failure = createFailure(
       ResultCodes.EARLIER_STATEMENT_RUNNING,
       "an earlier statement of this session may still run; connect again",
@@ -249,11 +253,11 @@
 
   #begin(request: CallerRequest, readOnly: boolean): void {
     if (this.#transaction) return this.#refuseInvalid(request, "already open");
-    const task = this.#createTask(request);
-    if (!task) return this.#refuseUnknownDatabase(request);
-    this.#route = task.route;
+    const task = this.#tasks.create(request, undefined);
+    if (task.isErr()) return this.#refuse(request, task.error);
+    this.#route = task.value.route;
     // Not awaited: the transaction opens while the caller prepares its first statement.
-    this.#transaction = Transaction.open(task, readOnly);
+    this.#transaction = Transaction.open(task.value, readOnly);
     this.#channel.complete("open");
   }
 
@@ -269,8 +273,9 @@
       );
       return this.#refuse(request, failure);
     }
-    const task = this.#createTask(request);
-    if (!task) return this.#refuseUnknownDatabase(request);
+    const created = this.#tasks.create(request, this.#openRoute);
+    if (created.isErr()) return this.#refuse(request, created.error);
+    const task = created.value;
     const { effect, operation } = resolved;
     if (this.#transaction) {
       return await this.#runInTransaction(task, operation, effect);
@@ -316,12 +321,12 @@
     if (!pending) return this.#refuseInvalid(request, "no transaction is open");
     const opened = await pending;
     if (opened.isErr()) return this.#refuse(request, opened.error);
-    const route = this.#route!;
-    const outcome = await opened.value.commit(
-      this.#createTaskOnRoute(request, route),
-      text,
-    );
-    this.#sendOutcome(request, outcome);
+    const task = this.#tasks.create(request, this.#route);
+    if (task.isErr()) {
+      opened.value.abandon();
+      return this.#refuse(request, task.error);
+    }
+    this.#sendOutcome(request, await opened.value.commit(task.value, text));
   }
 
   #rollback(): void {
@@ -330,22 +335,9 @@
     this.#channel.complete("idle");
   }
 
-  #createTask(request: CallerRequest): Task | undefined {
-    const route = this.#transaction && this.#route ||
-      this.#context.routes.route(this.#database);
-    return route && this.#createTaskOnRoute(request, route);
-  }
-
-  #createTaskOnRoute(request: CallerRequest, route: Route): Task {
-    return {
-      context: this.#context,
-      session: this.#session,
-      route,
-      id: request.id,
-      receivedAt: request.receivedAt,
-      deadline: request.receivedAt + route.statementTimeout,
-      usefulUntil: request.receivedAt + route.targetLatency,
-    };
+  /** Route of the open transaction, if there is one. */
+  get #openRoute(): Route | undefined {
+    return this.#transaction && this.#route;
   }
 
   #sendOutcome(
@@ -359,16 +351,6 @@
     this.#channel.answer({ ...answer, state: this.#state });
   }
 
-  #refuseUnknownDatabase(request: CallerRequest): void {
-    this.#refuse(
-      request,
-      createFailure(
-        ResultCodes.DATABASE_UNKNOWN,
-        `no route is named ${this.#database}`,
-      ),
-    );
-  }
-
   #refuseInvalid(request: CallerRequest, reason: string): void {
     this.#refuse(
       request,
@@ -380,10 +362,11 @@
     request: { readonly id: string; readonly receivedAt: number },
     failure: Failure,
   ): void {
-    this.#context.requests.refused(request, failure, {
-      database: this.#database,
-      version: this.#context.routes.table?.version,
-    });
+    this.#context.requests.refused(request, failure, this.#tasks.describe());
+    if (failure.code === ResultCodes.KEY_REJECTED) {
+      this.#isRejected = true;
+      this.endTransaction();
+    }
     this.#channel.refuse(failure, this.#state);
   }
 }
--- a/src/plugins/sessions/link_run.ts
+++ b/src/plugins/sessions/link_run.ts
@@ -5,6 +5,7 @@
  */
 import type { ResultAsync } from "neverthrow";
 import type { Failure } from "../../kernel/result_codes.ts";
+import type { LinkRequest } from "../connections/link_pools.ts";
 import type {
   Answer,
   LinkOperation,
@@ -15,12 +16,21 @@
 import { prepareLink } from "./link_preparation.ts";
 import type { Task } from "./session_context.ts";
 
-/** Acquires a connection to an instance from the pool. */
+/** The request for a link that runs a statement. */
+export function linkRequest(
+  { account, route, deadline, usefulUntil }: Task,
+  instance: string,
+): LinkRequest {
+  const { priority, rank } = route;
+  return { instance, account, priority, rank, deadline, usefulUntil };
+}
+
+/** Acquires a link to an instance. */
 export function acquireLink(
-  { context, route, deadline, usefulUntil }: Task,
+  task: Task,
   instance: string,
 ): ResultAsync<UpstreamLink, Failure> {
-  return context.pools.acquire(instance, route.priority, deadline, usefulUntil);
+  return task.context.pools.acquire(linkRequest(task, instance));
 }
 
 /** Runs a statement with its session's state applied. */
@@ -30,14 +40,28 @@
   operation: LinkOperation,
   after?: Position,
 ): LinkResult<Answer> {
-  const { id, context, route, session, deadline } = task;
-  context.succession.onRequest(route.group, link.instance);
+  const { id, session, deadline } = task;
+  recordRequest(task, link);
   prepareLink(link, task, operation);
   const running = link.run({ id, operation, after }, deadline);
   session.track(running);
   const result = await running;
-  if (result.isErr() && !result.error.notSent) {
-    context.succession.onFailure(route.group, link.instance);
-  }
+  if (result.isErr() && !result.error.notSent) recordLoss(task, link);
   return result;
 }
+
+/** Records a statement that is sent. Only a proxy with a connection of its own can tell from silence that an instance has failed. */
+export function recordRequest(
+  { context, route }: Task,
+  { instance, isForwarded }: UpstreamLink,
+): void {
+  if (!isForwarded) context.succession.onRequest(route.group, instance);
+}
+
+/** Records a statement that got no answer from its instance. */
+export function recordLoss(
+  { context, route }: Task,
+  { instance, isForwarded }: UpstreamLink,
+): void {
+  if (!isForwarded) context.succession.onFailure(route.group, instance);
+}
--- a/src/plugins/sessions/primary_confirmation.ts
+++ b/src/plugins/sessions/primary_confirmation.ts
@@ -95,11 +95,11 @@
   const leadership = context.succession.leadership(group);
   const leader = await leadership.waitForLeader(deadline);
   if (!leader) return;
-  const acquired = await context.pools.acquire(
-    leader.instance,
-    "high",
+  const acquired = await context.pools.acquire({
+    instance: leader.instance,
+    priority: "high",
     deadline,
-  );
+  });
   if (acquired.isErr()) return;
   const link = acquired.value;
   context.succession.onRequest(group, leader.instance);
--- a/src/plugins/sessions/request_log.ts
+++ b/src/plugins/sessions/request_log.ts
@@ -131,7 +131,8 @@
   /** Records that a statement is prepared on a connection, under a name by which the instance knows it. */
   prepared(
     request: { readonly id: string },
-    link: Pick<UpstreamLink, "id" | "instance" | "preparedName">,
+    link: Pick<UpstreamLink, "id" | "instance">,
+    name: string,
     statement: PreparedStatement,
   ): void {
     if (!this.#preparedBudget.take()) return this.#metrics.lineOmitted();
@@ -140,7 +141,7 @@
       request: request.id,
       instance: link.instance,
       connection: link.id,
-      name: link.preparedName(statement),
+      name,
       effect,
       shape: shape.slice(0, MAX_LOGGED_SHAPE_LENGTH),
       length: shape.length,
--- a/src/plugins/sessions/session_context.ts
+++ b/src/plugins/sessions/session_context.ts
@@ -6,7 +6,7 @@
  */
 import { clock } from "../../kernel/clock.ts";
 import type { EventLog } from "../../kernel/events.ts";
-import type { UpstreamPools } from "../connections/upstream_pools.ts";
+import type { LinkPools } from "../connections/link_pools.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
 import type { ActiveRoutes, Route } from "../deployment/routes.ts";
 import type { PrimarySamples } from "../freshness/primary_samples.ts";
@@ -25,7 +25,7 @@
 export interface SessionContext {
   readonly routes: ActiveRoutes;
   readonly directory: InstanceDirectory;
-  readonly pools: UpstreamPools;
+  readonly pools: LinkPools;
   readonly succession: Succession;
   readonly placement: ReadPlacement;
   /** Position samples of a group's primary. */
@@ -162,6 +162,8 @@
   readonly context: SessionContext;
   readonly session: SessionState;
   readonly route: Route;
+  /** Name of the account that the statement counts for, if any. */
+  readonly account?: string;
   readonly id: string;
   readonly receivedAt: number;
   /** Monotonic time in ms by which the statement must be answered. */
--- a/src/plugins/sessions/transaction.ts
+++ b/src/plugins/sessions/transaction.ts
@@ -11,7 +11,12 @@
 import type { Answer, LinkOperation, UpstreamLink } from "../upstream/link.ts";
 import type { Position } from "../upstream/position.ts";
 import { prepareLink } from "./link_preparation.ts";
-import { acquireLink } from "./link_run.ts";
+import {
+  acquireLink,
+  linkRequest,
+  recordLoss,
+  recordRequest,
+} from "./link_run.ts";
 import {
   answered,
   isOverload,
@@ -153,11 +158,8 @@
   > {
     const { context, route, deadline } = task;
     const { placement, pools } = context;
-    const { priority } = route;
     const leave = await pools.acquireTransactionSlot(
-      instance,
-      priority,
-      deadline,
+      linkRequest(task, instance),
     );
     if (!leave) return err(noConnection(route.group, instance));
     const acquired = await acquireLink(task, instance);
@@ -177,8 +179,8 @@
     const result = await link.begin({ readOnly, after }, deadline);
     if (result.isErr()) {
       leave();
-      placement.recordFailure(instance);
-      context.succession.onFailure(route.group, instance);
+      if (!result.error.holderLost) placement.recordFailure(instance);
+      recordLoss(task, link);
       context.requests.attemptFailed(task, instance, result.error.reason, {});
       return err(noReadInstance(route.group, result.error.reason));
     }
@@ -206,7 +208,7 @@
   ): Promise<Outcome> {
     const { context, route, deadline } = task;
     this.#statements += 1;
-    context.succession.onRequest(route.group, this.instance);
+    recordRequest(task, this.#link);
     prepareLink(this.#link, task, operation);
     const running = this.#link.run(
       { id: task.id, operation },
@@ -310,7 +312,7 @@
   }
 
   #fail(task: Task): void {
-    task.context.succession.onFailure(task.route.group, this.instance);
+    recordLoss(task, this.#link);
     this.#end(false);
   }
 
--- a/src/plugins/upstream/link.ts
+++ b/src/plugins/upstream/link.ts
@@ -59,6 +59,8 @@
   readonly over?: Promise<number>;
   /** Why the statement was not sent; the connection is open then, and its borrower releases it. */
   readonly notSent?: Failure;
+  /** Whether the proxy that holds the connection was lost, which says nothing about the instance. */
+  readonly holderLost?: boolean;
 }
 
 /** Operation to run: the caller's statement text, or a statement prepared on the link. */
@@ -101,13 +103,20 @@
 /** Outcome of a request to an instance. */
 export type LinkResult<T> = Promise<Result<T, LinkLoss>>;
 
-/** A connection to an instance. Pipelined statements are answered in order. Deadlines are in monotonic ms. */
+/** A way to run statements at an instance: a connection to it, or a place on one that another proxy holds. Pipelined statements are answered in order. Deadlines are in monotonic ms. */
 export interface UpstreamLink extends PoolMember {
   readonly instance: string;
-  /** Session values that are set on the connection. */
-  readonly values: ReadonlyMap<string, string>;
-  /** Name by which the instance knows a statement that is prepared on the connection; undefined if it is not prepared. Counts as a use, which keeps the statement prepared for longer. */
-  preparedName(statement: PreparedStatement): string | undefined;
+  /** Whether another proxy holds the connection. */
+  readonly isForwarded: boolean;
+  /**
+   * Makes the session's values, and the statement that an operation executes, available to what is
+   * run next. Returns the name under which the statement was newly prepared, if it was.
+   */
+  adopt(
+    values: ReadonlyMap<string, string>,
+    operation: LinkOperation | undefined,
+    deadline: number,
+  ): string | undefined;
   /** Runs a statement; an instance's fault is part of the answer, not a loss. */
   run(statement: LinkStatement, deadline: number): LinkResult<Answer>;
   /** Begins a transaction; the instance's data must include the position `after`. */
@@ -117,12 +126,6 @@
   ): LinkResult<Answer>;
   /** Rolls back the open transaction. */
   rollback(deadline: number): LinkResult<Answer>;
-  /** Sets a session value. */
-  setValue(name: string, value: string, deadline: number): LinkResult<Answer>;
-  /** Discards all session values and prepared statements. */
-  reset(deadline: number): LinkResult<Answer>;
-  /** Prepares a statement that the connection lacks. */
-  prepare(statement: PreparedStatement, deadline: number): LinkResult<Answer>;
   /** Requests the role and log position; a fault is reported as a loss. */
   status(deadline: number): LinkResult<LinkStatus>;
   /** Tells a replica to stop receiving from primaries of terms below `term`. */
@@ -137,3 +140,20 @@
    */
   release(wasRejected?: boolean): void;
 }
+
+/** The state of a connection to an instance, and the statements that change it. */
+export interface LinkState {
+  /** Session values that are set on the connection. */
+  readonly values: ReadonlyMap<string, string>;
+  /** Name by which the instance knows a statement that is prepared on the connection; undefined if it is not prepared. Counts as a use, which keeps the statement prepared for longer. */
+  preparedName(statement: PreparedStatement): string | undefined;
+  /** Sets a session value. */
+  setValue(name: string, value: string, deadline: number): LinkResult<Answer>;
+  /** Discards all session values and prepared statements. */
+  reset(deadline: number): LinkResult<Answer>;
+  /** Prepares a statement that the connection lacks. */
+  prepare(statement: PreparedStatement, deadline: number): LinkResult<Answer>;
+}
+
+/** A link on a connection of this proxy's own. */
+export interface DirectLink extends UpstreamLink, LinkState {}
--- a/test/platform/documents_test.ts
+++ b/test/platform/documents_test.ts
@@ -91,6 +91,8 @@
       statementTimeout: 800,
       targetLatency: 800,
       priority: "normal",
+      rank: 2,
+      isPublic: false,
     });
     expect(table.groups.get("ledger")?.connectionsPerInstance).toEqual(22);
   });
--- a/test/platform/fields_test.ts
+++ b/test/platform/fields_test.ts
@@ -209,7 +209,7 @@
       });
       const opened = await new LineConnector(name).open(
         localInstance(port, { id: "i-č", group: "kotačić" }),
-        1_000,
+        { timeout: 1_000 },
       );
       const owner = { onReleased: () => {}, onClosed: () => {} };
       opened._unsafeUnwrap()(owner).destroy();
--- a/test/platform/forwarded_text_test.ts
+++ b/test/platform/forwarded_text_test.ts
@@ -16,7 +16,7 @@
   CallerRequest,
   CallerStatement,
 } from "../../src/plugins/sessions/caller.ts";
-import type { UpstreamLink } from "../../src/plugins/upstream/link.ts";
+import type { DirectLink } from "../../src/plugins/upstream/link.ts";
 import { localInstance } from "./fixtures/local_instance.ts";
 
 const SEED = 20_261_206;
@@ -88,7 +88,7 @@
 describe("texts of callers", () => {
   /** What the instance received since the last call of `send`. */
   let received = Buffer.alloc(0);
-  let link: UpstreamLink;
+  let link: DirectLink;
   const sockets: Socket[] = [];
   const server = createServer((socket) => {
     sockets.push(socket);
@@ -107,7 +107,7 @@
     const { port } = server.address() as AddressInfo;
     const opened = await new LineConnector("p1").open(
       localInstance(port),
-      1_000,
+      { timeout: 1_000 },
     );
     link = opened._unsafeUnwrap()({
       onReleased: () => {},
--- a/test/platform/held_statements_test.ts
+++ b/test/platform/held_statements_test.ts
@@ -53,7 +53,7 @@
     if (typeof address !== "object" || !address) throw new Error("no port");
     const opened = await new LineConnector("p1").open(
       localInstance(address.port),
-      1_000,
+      { timeout: 1_000 },
     );
     const link = opened._unsafeUnwrap()(owner);
     link.markInUse();
--- a/test/platform/instance_group_test.ts
+++ b/test/platform/instance_group_test.ts
@@ -37,7 +37,11 @@
   context.after(() => pools.stop());
   for (const group of ["ledger", "stock"]) {
     directory.put(localInstance(port, { group }));
-    const link = await pools.acquire("i-1", "high", clock.now() + TIMEOUT_MS);
+    const link = await pools.acquire({
+      instance: "i-1",
+      priority: "high",
+      deadline: clock.now() + TIMEOUT_MS,
+    });
     link._unsafeUnwrap().release();
   }
   expect(openings).toEqual(["STARTUP ledger p1 i-1", "STARTUP stock p1 i-1"]);
--- a/test/platform/late_rejection_test.ts
+++ b/test/platform/late_rejection_test.ts
@@ -8,7 +8,7 @@
 import { expect } from "earl";
 import { LineConnector } from "../../platform/line_connector.ts";
 import { clock } from "../../src/kernel/clock.ts";
-import type { UpstreamLink } from "../../src/plugins/upstream/link.ts";
+import type { DirectLink } from "../../src/plugins/upstream/link.ts";
 import { sleep } from "../../src/utils/sleep.ts";
 import { readCrlfLines } from "../../standins/common/crlf_lines.ts";
 import { localInstance } from "./fixtures/local_instance.ts";
@@ -22,7 +22,7 @@
 // Guards against a connection that keeps a name or value which the instance never took.
 describe("a connection whose instance rejects", () => {
   const servers: Server[] = [];
-  const links: UpstreamLink[] = [];
+  const links: DirectLink[] = [];
   afterEach(() => {
     for (const link of links.splice(0)) link.destroy();
     for (const server of servers.splice(0)) server.close();
@@ -31,7 +31,7 @@
   /** Opens a connection to an instance that answers everything with an error after a delay. */
   async function open(
     error: string,
-  ): Promise<{ readonly link: UpstreamLink; released: number }> {
+  ): Promise<{ readonly link: DirectLink; released: number }> {
     const server = createServer((socket) => {
       socket.on("error", () => {});
       readCrlfLines(socket, (line) => {
@@ -59,7 +59,7 @@
   }
 
   const changes: Readonly<
-    Record<string, (link: UpstreamLink, deadline: number) => unknown>
+    Record<string, (link: DirectLink, deadline: number) => unknown>
   > = {
     "a PREPARE": (link, deadline) => link.prepare(STATEMENT, deadline),
     "a SET": (link, deadline) => link.setValue("v", "1", deadline),
--- a/test/platform/leadership_test.ts
+++ b/test/platform/leadership_test.ts
@@ -247,7 +247,7 @@
       coordination: proxy.coordination,
       directory: proxy.directory,
       pools: {
-        acquire: (id) =>
+        acquire: ({ instance: id }) =>
           statuses[id] ? okAsync(link(id)) : new ResultAsync(
             sleep(options.connectFailureDelay ?? 0).then(() =>
               err(
--- a/test/platform/malformed_input_test.ts
+++ b/test/platform/malformed_input_test.ts
@@ -168,7 +168,9 @@
   describe("from an instance", () => {
     async function openLink(port: number) {
       const target: ListedInstance = localInstance(port);
-      const opened = await new LineConnector("p1").open(target, 1_000);
+      const opened = await new LineConnector("p1").open(target, {
+        timeout: 1_000,
+      });
       const owner = { onReleased: () => {}, onClosed: () => {} };
       return opened._unsafeUnwrap()(owner);
     }
@@ -203,7 +205,9 @@
 
     it("is an error of the attempt, not an exception, when the address is invalid", async () => {
       const target = localInstance(99_999);
-      const opened = await new LineConnector("p1").open(target, 100);
+      const opened = await new LineConnector("p1").open(target, {
+        timeout: 100,
+      });
       expect(opened.isErr()).toEqual(true);
     });
   });
--- a/test/platform/overload_test.ts
+++ b/test/platform/overload_test.ts
@@ -17,6 +17,8 @@
     statementTimeout: 800,
     targetLatency: 800,
     priority: "normal",
+    rank: 2,
+    isPublic: false,
     ...fields,
   };
 }
--- a/test/platform/rounds_test.ts
+++ b/test/platform/rounds_test.ts
@@ -36,7 +36,7 @@
   const rounds = new InstanceRounds({
     directory,
     pools: {
-      acquire: (id) => {
+      acquire: ({ instance: id }) => {
         const answer = answers[id];
         return answer ? okAsync(link(answer)) : errAsync(
           createFailure(ResultCodes.UPSTREAM_UNREACHABLE, `${id} is dead`),
--- a/test/platform/session_drain_test.ts
+++ b/test/platform/session_drain_test.ts
@@ -9,6 +9,7 @@
 import { CallerSession } from "../../src/plugins/sessions/caller_session.ts";
 import { SessionDrain } from "../../src/plugins/sessions/session_drain.ts";
 import type { SessionContext } from "../../src/plugins/sessions/session_context.ts";
+import { CallerIdentity } from "../../src/plugins/accounts/caller_identity.ts";
 import type { Route } from "../../src/plugins/deployment/routes.ts";
 import { sleep } from "../../src/utils/sleep.ts";
 import { createProxy, type GroupLoad } from "./fixtures/loaded_group.ts";
@@ -28,6 +29,8 @@
   statementTimeout: 2_500,
   targetLatency: 400,
   priority: "normal",
+  rank: 2,
+  isPublic: false,
 };
 
 const load: GroupLoad = {
@@ -149,7 +152,10 @@
       (id) => works.get(id ?? "") ?? 1,
     );
     const sessions = callers.map((caller) =>
-      new CallerSession(context, caller, route.database)
+      new CallerSession(context, caller, {
+        database: route.database,
+        identity: new CallerIdentity(undefined),
+      })
     );
     for (const [index, caller] of callers.entries()) {
       void sessions[index]!.run();
--- a/test/platform/session_size_test.ts
+++ b/test/platform/session_size_test.ts
@@ -15,6 +15,7 @@
 import { expect } from "earl";
 import { CallerConnection } from "../../platform/caller_connection.ts";
 import type { Route } from "../../src/plugins/deployment/routes.ts";
+import { CallerIdentity } from "../../src/plugins/accounts/caller_identity.ts";
 import { CallerSession } from "../../src/plugins/sessions/caller_session.ts";
 import type { SessionContext } from "../../src/plugins/sessions/session_context.ts";
 import { eventually } from "../support/eventually.ts";
@@ -31,6 +32,8 @@
   statementTimeout: 1_000,
   targetLatency: 400,
   priority: "normal",
+  rank: 2,
+  isPublic: false,
 };
 
 function usedMemory(): number {
@@ -46,7 +49,7 @@
 
   async function open(): Promise<LineCaller> {
     const context = {
-      routes: { table: undefined, route: () => route },
+      routes: { table: { routes: new Map([["booking", route]]) } },
       requests: { refused: () => {} },
     } as unknown as SessionContext;
     const server = createServer({ allowHalfOpen: true }, (socket) => {
@@ -54,7 +57,10 @@
       void (async () => {
         await connection.readStartup(1_000);
         connection.accept();
-        await new CallerSession(context, connection, "booking").run();
+        await new CallerSession(context, connection, {
+          database: "booking",
+          identity: new CallerIdentity(undefined),
+        }).run();
       })();
     });
     return await listenAndOpen(server);
