Add pools whose connections belong to one account each

Cause: a connection to an instance serves the statements of all callers, while on deployments with accounts it belongs to one account from its opening to its end. A pool also counts connections in use as statements in flight, so transactions that rest take the place of others.

Change: AccountPool implements ConnectionPool, the interface that InstancePool has as well. UpstreamPools creates it for the groups that the option isScheduled names, with the share that scheduledShare gives; without these options nothing changes. FairQueue orders the waiters, FairAdmission refuses at once what would be served too late, by the slot time of the rank and the queue ahead of the account, and AccountTransactions leaves transaction slots to other accounts. Statements of open transactions are held back while the instance has no room, and never follow a rollback. Statements in flight are limited by rejections (ConcurrencyLimit) until the pace replaces that.

A request without an account and without a rank is the proxy's own and takes any connection; one with a rank runs on the proxy's own name.

--- a/src/plugins/connections/connections.ts
+++ b/src/plugins/connections/connections.ts
@@ -15,7 +15,11 @@
 export interface ConnectionRequest {
   readonly database: string;
   readonly instance: string;
+  /** Account that the work belongs to; undefined for the proxy's own statements and where callers have no accounts. */
+  readonly account?: string;
   readonly priority: Priority;
+  /** Order among the work of one instance where that is scheduled, 0 first; undefined for the proxy's own statements. */
+  readonly rank?: number;
   /** Monotonic ms until which the request may wait. */
   readonly deadline: number;
   /** Monotonic ms after which the result is less useful to the caller, if known. */
--- a/src/plugins/connections/instance_pool.ts
+++ b/src/plugins/connections/instance_pool.ts
@@ -23,6 +23,7 @@
   ResultCodes,
 } from "../../kernel/result_codes.ts";
 import { Admission } from "./admission.ts";
+import type { ConnectionPool } from "./connection_pool.ts";
 import type { ConnectionRequest, ConnectionUse } from "./connections.ts";
 import type { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { DemandMeter } from "./demand_meter.ts";
@@ -74,7 +75,7 @@
 
 /** Connection pool for one instance. */
 export class InstancePool<Member extends PoolMember>
-  implements PoolOwner<Member> {
+  implements ConnectionPool<Member>, PoolOwner<Member> {
   readonly demand = new DemandMeter();
   readonly admission: Admission;
   readonly #options: PoolOptions<Member>;
@@ -144,7 +145,6 @@
     };
   }
 
-  /** Acquires a connection, from the idle ones or through the queue. */
   acquire(request: ConnectionRequest): ResultAsync<Member, Failure> {
     if (this.#closeFailure) return errAsync(this.#closeFailure);
     if (request.deadline <= clock.now()) {
@@ -163,7 +163,6 @@
     return acquired;
   }
 
-  /** Sets the maximum number of connections of this proxy; idle ones in excess are closed immediately. */
   setShare(share: number): void {
     this.#share = share;
     this.#closeIdle(share);
@@ -171,7 +170,6 @@
     this.#openSpare();
   }
 
-  /** Closes the pool: waiters get the failure, idle connections are closed, those in use when they are released. */
   close(failure: Failure): void {
     if (this.#closeFailure) return;
     this.#closeFailure = failure;
@@ -179,19 +177,16 @@
     this.#closeIdle(0);
   }
 
-  /** Accepts requests again after `close`. */
   reopen(): void {
     this.#closeFailure = undefined;
     this.#openSpare();
   }
 
-  /** Closes the pool and all connections, including those in use. */
   destroy(failure: Failure): void {
     this.close(failure);
     this.destroyBusy();
   }
 
-  /** Closes the connections in use; their users see them as lost. */
   destroyBusy(): void {
     for (const connection of [...this.#busy]) connection.destroy();
   }
--- a/src/plugins/connections/transaction_limit.ts
+++ b/src/plugins/connections/transaction_limit.ts
@@ -23,7 +23,7 @@
 
   /** `share` is the number of connections that this proxy may hold. */
   constructor(share: number) {
-    this.#slots = computeSlots(share);
+    this.#slots = computeTransactionSlots(share);
   }
 
   /** Number of slots in use. */
@@ -33,7 +33,7 @@
 
   /** Adapts the number of slots to a new share. */
   setShare(share: number): void {
-    this.#slots = computeSlots(share);
+    this.#slots = computeTransactionSlots(share);
     this.#grantSlots();
   }
 
@@ -64,6 +64,7 @@
   }
 }
 
-function computeSlots(share: number): number {
+/** Number of transactions that may be open with a share of connections. */
+export function computeTransactionSlots(share: number): number {
   return Math.max(1, Math.floor(TRANSACTION_SHARE_FRACTION * share));
 }
--- a/src/plugins/connections/upstream_pools.ts
+++ b/src/plugins/connections/upstream_pools.ts
@@ -5,7 +5,12 @@
  */
 import { errAsync, type ResultAsync } from "neverthrow";
 import { clock } from "../../kernel/clock.ts";
-import { type EventLog, Events } from "../../kernel/events.ts";
+import {
+  type EventFields,
+  type EventKind,
+  type EventLog,
+  Events,
+} from "../../kernel/events.ts";
 import {
   createFailure,
   type Failure,
@@ -16,7 +21,12 @@
   ListedInstance,
 } from "../deployment/instance_directory.ts";
 import type { ActiveRoutes } from "../deployment/routes.ts";
+import { NO_ACCOUNT } from "../scheduling/account_connections.ts";
+import { AccountPool } from "../scheduling/account_pool.ts";
+import { AccountTransactions } from "../scheduling/account_transactions.ts";
+import { RejectionLimit } from "../scheduling/rejection_limit.ts";
 import type { DirectLink, UpstreamLink } from "../upstream/link.ts";
+import type { ConnectionPool } from "./connection_pool.ts";
 import type { ConnectionUse } from "./connections.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { DEMAND_SAMPLE_MS } from "./demand_meter.ts";
@@ -51,6 +61,10 @@
   readonly log: EventLog;
   /** Called when an instance is unreachable or has closed an idle connection. */
   readonly onFailure: (instance: ListedInstance) => void;
+  /** Whether the instances of a group have a fair queue and connections by account; by default none has. */
+  readonly isScheduled?: (group: string) => boolean;
+  /** Connections that this proxy may hold to an instance of a scheduled group; by default none. */
+  readonly scheduledShare?: (instance: ListedInstance) => number;
 }
 
 /** Sum of the shares relative to an instance's connections; above 1, since not all proxies need theirs at the same time. */
@@ -88,15 +102,22 @@
 const QUEUE_LENGTH = 400;
 
 interface Entry {
-  readonly pool: InstancePool<DirectLink>;
-  readonly transactions: TransactionLimit;
   readonly instance: ListedInstance;
+  readonly isScheduled: boolean;
+  readonly pool: ConnectionPool<DirectLink>;
+  readonly acquireTransactionSlot: (
+    request: LinkRequest,
+  ) => Promise<ReleaseSlot | undefined>;
+  /** Adapts the pool to the current share of connections. */
+  readonly updateShare: () => void;
 }
 
 /** Connection pools by instance id. */
 export class UpstreamPools implements LinkPools {
   readonly #options: UpstreamPoolsOptions;
   readonly #entries = new Map<string, Entry>();
+  /** Closed pools with connections that still count towards the limits of their instances. */
+  readonly #retired = new Set<Pick<Entry, "instance" | "pool">>();
   /** Monotonic ms of the last report of scarce connections, by instance. */
   readonly #reportedAt = new Map<string, number>();
   /** Number of proxies at the last maintenance run. */
@@ -131,16 +152,19 @@
         `instance ${request.instance} is not listed`,
       ));
     }
+    // A host may become the holder of an instance at any time.
+    if (entry.isScheduled) entry.updateShare();
     const { database } = entry.pool.target;
     return entry.pool.acquire({ database, ...request });
   }
 
   async acquireTransactionSlot(
-    { instance, priority, deadline }: LinkRequest,
+    request: LinkRequest,
   ): Promise<ReleaseSlot | undefined> {
     if (this.#stopped) return undefined;
-    const entry = this.#entry(instance);
-    return await entry?.transactions.acquire(priority, deadline);
+    const entry = this.#entry(request.instance);
+    if (entry?.isScheduled) entry.updateShare();
+    return await entry?.acquireTransactionSlot(request);
   }
 
   outstanding(id: string): number {
@@ -149,11 +173,7 @@
 
   /** Removes the pool of an instance that is no longer listed; connections in use are closed when they are released. */
   remove(id: string): void {
-    this.#entries.get(id)?.pool.close(createFailure(
-      ResultCodes.UPSTREAM_UNREACHABLE,
-      `instance ${id} is gone`,
-    ));
-    this.#entries.delete(id);
+    this.#retire(id, `instance ${id} is gone`);
   }
 
   destroyBusy(id: string): void {
@@ -168,31 +188,94 @@
     const instance = this.#options.directory.get(id);
     const known = this.#entries.get(id);
     if (!instance) return known;
-    if (known && isSameTarget(known.instance, instance)) return known;
-    if (known) this.remove(id);
-    const entry = this.#createEntry(instance);
+    const isScheduled = this.#options.isScheduled?.(instance.group) ?? false;
+    if (known && isSameTarget(known.instance, instance)) {
+      if (known.isScheduled === isScheduled) return known;
+      this.#retire(id, `the way in which instance ${id} is shared changes`);
+    } else if (known) this.remove(id);
+    const entry = isScheduled
+      ? this.#createScheduledEntry(instance)
+      : this.#createEntry(instance);
     this.#entries.set(id, entry);
+    entry.updateShare();
     return entry;
   }
 
+  /** Closes the pool of an instance; its connections in use are closed when they are released. */
+  #retire(id: string, reason: string): void {
+    const entry = this.#entries.get(id);
+    if (!entry) return;
+    this.#entries.delete(id);
+    this.#retired.add(entry);
+    entry.pool.close(createFailure(ResultCodes.UPSTREAM_UNREACHABLE, reason));
+  }
+
   #createEntry(instance: ListedInstance): Entry {
-    const { connector, log, onFailure } = this.#options;
+    const { connector, onFailure } = this.#options;
     const transactions = new TransactionLimit(MIN_SHARE_CONNECTIONS);
     const pool = new InstancePool<DirectLink>({
       target: { database: instance.group, instance: instance.id },
       queueLength: QUEUE_LENGTH,
-      log: (kind, fields) =>
-        log.write(kind, {
-          group: instance.group,
-          instance: instance.id,
-          ...fields,
-        }),
+      log: (kind, fields) => this.#log(instance, kind, fields),
       open: () => connector.open(instance),
       onFailure: () => onFailure(instance),
       limit: new ConcurrencyLimit(() => transactions.inUse),
     });
-    transactions.setShare(this.#updateShare(pool, instance.group));
-    return { pool, instance, transactions };
+    return {
+      instance,
+      isScheduled: false,
+      pool,
+      acquireTransactionSlot: ({ priority, deadline }) =>
+        transactions.acquire(priority, deadline),
+      updateShare: () =>
+        transactions.setShare(this.#updateShare(pool, instance.group)),
+    };
+  }
+
+  #createScheduledEntry(instance: ListedInstance): Entry {
+    const { connector, onFailure } = this.#options;
+    const transactions = new AccountTransactions(0, QUEUE_LENGTH);
+    const pool: AccountPool = new AccountPool({
+      target: { database: instance.group, instance: instance.id },
+      queueLength: QUEUE_LENGTH,
+      log: (kind, fields) => this.#log(instance, kind, fields),
+      open: (account) => connector.open(instance, { account }),
+      onFailure: () => onFailure(instance),
+      limit: new RejectionLimit(() => pool.use.share),
+    });
+    return {
+      instance,
+      isScheduled: true,
+      pool,
+      acquireTransactionSlot: (request) =>
+        transactions.acquire({
+          ...request,
+          account: request.account ?? NO_ACCOUNT,
+          rank: request.rank ?? 0,
+        }),
+      updateShare: () => {
+        const share = this.#scheduledShare(instance);
+        if (share === pool.use.share) return;
+        pool.setShare(share);
+        transactions.setShare(share);
+      },
+    };
+  }
+
+  #log(instance: ListedInstance, kind: EventKind, fields: EventFields): void {
+    const { group, id } = instance;
+    this.#options.log.write(kind, { group, instance: id, ...fields });
+  }
+
+  /** The share of a scheduled instance, without the connections of closed pools. */
+  #scheduledShare(instance: ListedInstance): number {
+    const share = this.#options.scheduledShare?.(instance) ?? 0;
+    let retired = 0;
+    for (const { instance: other, pool } of this.#retired) {
+      if (other.id !== instance.id || !isSameTarget(other, instance)) continue;
+      retired += pool.use.open;
+    }
+    return Math.max(0, Math.floor(share) - retired);
   }
 
   /** Updates the share and the idle policy of a pool; returns the share. */
@@ -218,15 +301,18 @@
       });
       this.remove(id);
     }
-    for (const { pool, transactions, instance } of this.#entries.values()) {
-      transactions.setShare(this.#updateShare(pool, instance.group));
+    for (const retired of this.#retired) {
+      if (retired.pool.use.open === 0) this.#retired.delete(retired);
+    }
+    for (const { pool, updateShare } of this.#entries.values()) {
+      updateShare();
       pool.maintain(now);
       this.#reportScarcity(pool, now);
     }
   }
 
   /** Logs the connection counts of an instance while statements wait for it. */
-  #reportScarcity(pool: InstancePool<DirectLink>, now: number): void {
+  #reportScarcity(pool: ConnectionPool<DirectLink>, now: number): void {
     const { instance, database, ...use } = pool.use;
     if (use.waiting === 0) return;
     const last = this.#reportedAt.get(instance) ?? -Infinity;
--- a/src/plugins/scheduling/fair_level.ts
+++ b/src/plugins/scheduling/fair_level.ts
@@ -108,9 +108,9 @@
       .map(({ head }) => head);
   }
 
-  /** Slot time in ms of the waiters that would be served before a new one of the account, at `slotTime` each. */
-  timeAhead(account: string, slotTime: number): number {
-    const own = this.#flows.get(account);
+  /** Slot time in ms of the waiters that would be served before a new one of the account, at `slotTime` each; undefined stands for an account that has used little. */
+  timeAhead(account: string | undefined, slotTime: number): number {
+    const own = account === undefined ? undefined : this.#flows.get(account);
     const count = own?.waiting.length ?? 0;
     const start = count > 0
       ? own!.tag + count * slotTime
--- a/src/plugins/scheduling/fair_queue.ts
+++ b/src/plugins/scheduling/fair_queue.ts
@@ -25,7 +25,7 @@
 
 /** A request in the queue. */
 export interface Waiter<T> extends QueueRequest, LevelEntry {
-  /** Monotonic ms at which another was first served in its place, since it has no connection; set by the owner. */
+  /** Monotonic ms since which it is the next for which a connection is opened, while others that have one go first; set by the owner. */
   passedOverAt?: number;
   /** Ends the wait of a waiter that has left the queue. */
   settle(outcome: T): void;
@@ -122,9 +122,9 @@
     this.#level(rank).charge(account, slotTime);
   }
 
-  /** Slot time in ms of the waiters that would be served before a new one; `slotTimeOf` returns that of one statement of a rank. */
+  /** Slot time in ms of the waiters that would be served before a new one, of an account that has used little if it is undefined; `slotTimeOf` returns that of one statement of a rank. */
   timeAhead(
-    account: string,
+    account: string | undefined,
     rank: number,
     slotTimeOf: (rank: number) => number,
   ): number {
@@ -166,10 +166,11 @@
     return last;
   }
 
-  /** Removes and returns all waiters in order of service. */
-  clear(): readonly Waiter<T>[] {
-    const waiters = [...this.#waiters()]
-      .sort((left, right) => left.rank - right.rank);
+  /** Removes and returns all waiters, or those of one account. */
+  clear(account?: string): readonly Waiter<T>[] {
+    const waiters = this.#waiters().filter((waiter) =>
+      account === undefined || waiter.account === account
+    );
     for (const waiter of waiters) this.remove(waiter);
     return waiters;
   }
--- /dev/null
+++ b/src/plugins/scheduling/statement_limit.ts
@@ -0,0 +1,23 @@
+/**
+ * How many statements may be in flight at an instance.
+ *
+ * @module
+ */
+import type { Flight, FlightOutcome } from "./flight.ts";
+
+/** Limits the statements in flight, and learns from how they end. */
+export interface StatementLimit {
+  /** Statements that may be in flight; may be below 1, for pauses between them. */
+  readonly current: number;
+  /** Whether another statement may be sent while `inFlight` are in flight. */
+  allows(inFlight: number, now: number): boolean;
+  /** Time in ms until another statement may be sent although none ends, as far as that is known; 0 if only an end can allow it. */
+  remainingPause(now: number): number;
+  /** Records the end of a statement; `inFlight` are left. */
+  record(
+    flight: Flight,
+    outcome: FlightOutcome,
+    inFlight: number,
+    now: number,
+  ): void;
+}
