Add channels between proxies over TCP

Cause: forwarding and quotas need calls among proxies that say whether they may have been received, end with their connection, and carry a bound on the other process's clock; the peers' HTTP procedures give none of it.

Change: TcpChannels, with frames of a length and a latin1 JSON array, a hello that names the proxy, stamps, pings, reconnection with backoff, and bounds on what peers make a process hold. The port is the second of internalPortRange; a host with one has AbsentChannels. The plug-in is `channels`; nothing needs it yet, so no process listens yet.

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -58,6 +58,8 @@
   RELAY_FAILED: event(317, "relay-failed", "info"),
   HOST_ENTRY_SKIPPED: event(318, "host-entry-skipped", "warn"),
   PLATFORM_RECOVERED: event(320, "platform-recovered", "info"),
+  CHANNEL_LOST: event(330, "channel-lost", "info"),
+  CHANNEL_MALFORMED: event(331, "channel-malformed", "warn"),
   CALLER_CONNECTED: event(401, "caller-connected", "debug"),
   CALLER_DISCONNECTED: event(402, "caller-disconnected", "debug"),
   CALLER_REFUSED: event(403, "caller-refused", "warn"),
--- a/src/plugins/channels/channels.ts
+++ b/src/plugins/channels/channels.ts
@@ -42,8 +42,8 @@
 
 /** Sends messages to other proxies and receives theirs. */
 export interface PeerChannels {
-  /** Host and port at which peers reach this process. */
-  readonly endpoint: string;
+  /** Host and port at which peers reach this process; undefined for a host without a port for channels, whose calls all fail. */
+  readonly endpoint: string | undefined;
   /** Sends a call to the peer at `host:port` and waits for its answer, for `timeout` ms at most. */
   call(
     endpoint: string,
@@ -55,7 +55,16 @@
   send(endpoint: string, kind: string, body: unknown): boolean;
   /** Registers the handler of a kind, for calls, and for messages in either direction. */
   serve(kind: string, handler: ChannelHandler): void;
-  /** The earliest time, in ms, that the peer's clock can show at the local time `at`; undefined before its first frame. */
+  /** Connects to a peer unless it is connected, within `timeout` ms; `earliestPeerTime` is defined then. */
+  connect(
+    endpoint: string,
+    timeout: number,
+  ): ResultAsync<void, ChannelFailure>;
+  /**
+   * The earliest time, in ms, that the peer's clock can show at the local time `at`; undefined before
+   * its first frame. It belongs to the process that a call sent in the same turn goes to; a later
+   * connection may lead to another process, with another clock.
+   */
   earliestPeerTime(endpoint: string, at: number): number | undefined;
 }
 
--- a/test/platform/documents_test.ts
+++ b/test/platform/documents_test.ts
@@ -105,6 +105,17 @@
     expect(read.stopTimeout).toEqual(6_000);
   });
 
+  // Guards against a port that the platform has not reserved for this host.
+  it("have the second internal port for channels, and none if there is one port", () => {
+    const channels = (internalPortRange: readonly number[]) =>
+      parseHostSettings({ ...settings, internalPortRange })._unsafeUnwrap()
+        .channels?.port;
+    expect(channels([7440, 7455])).toEqual(7441);
+    expect(channels([7440, 7441])).toEqual(7441);
+    expect(channels([7440, 7440])).toEqual(undefined);
+    expect(channels([7440])).toEqual(undefined);
+  });
+
   it("name the invalid field", () => {
     const wrong = { ...settings, listenAddrs: { frontend: "10.1.0.8" } };
     const failure = parseHostSettings(wrong)._unsafeUnwrapErr();
