--- a/src/plugins/leadership/cached_rows.ts
+++ b/src/plugins/leadership/cached_rows.ts
@@ -43,8 +43,10 @@
   /** The proxies that are not marked absent; the same list until it changes. */
   liveHosts(): readonly LiveHost[] {
     this.#liveHosts ??= [...this.hostRows].flatMap(([name, { value }]) => {
-      const { address, zone, absentSince } = value;
-      return absentSince === undefined ? [{ name, address, zone }] : [];
+      const { address, zone, channel, weight, absentSince } = value;
+      return absentSince === undefined
+        ? [{ name, address, zone, channel, weight }]
+        : [];
     });
     return this.#liveHosts;
   }
--- a/src/plugins/leadership/coordination.ts
+++ b/src/plugins/leadership/coordination.ts
@@ -40,6 +40,10 @@
   readonly address: string;
   /** Availability zone; undefined in a row of an earlier release. */
   readonly zone?: string;
+  /** Endpoint of the proxy's channels, `host:port`; undefined if it has none, as in a row of an earlier release. */
+  readonly channel?: string;
+  /** Statements a second that the proxy can carry; undefined if it is not known. */
+  readonly weight?: number;
   /**
    * Time on the store's clock, in ms, at which another proxy found this one
    * unresponsive; the proxy must rewrite its row before it uses a primary
@@ -135,6 +139,9 @@
   readonly name: string;
   readonly address: string;
   readonly zone: string | undefined;
+  /** As in the proxy's row. */
+  readonly channel?: string | undefined;
+  readonly weight?: number | undefined;
 }
 
 /** Orders the promotion of an instance to the primary of its group. */
--- a/test/platform/store_coordination_test.ts
+++ b/test/platform/store_coordination_test.ts
@@ -76,6 +76,8 @@
       proxy: this.name,
       zone: "zagreb-a",
       address: `${this.name}:1`,
+      channel: `${this.name}:2`,
+      weight: 1_500,
       store: this.store,
       notices: {
         announce: () => {},
@@ -96,6 +98,30 @@
     rows = new Rows();
   });
 
+  // Guards against rows of other releases that make hosts vanish or be taken for holders.
+  it("tell a host's channels and weight, and are valid without", async () => {
+    const proxy = new Proxy("a", rows);
+    await proxy.register();
+    const row = { incarnation: "x", address: "b:1", zone: "zagreb-a" };
+    const values = { old: row, odd: { ...row, channel: 7, weight: -1 } };
+    rows.apply({
+      puts: Object.entries(values).map(([name, value]) => ({
+        table: COORDINATION_TABLE,
+        key: `host/${name}`,
+        value: Buffer.from(JSON.stringify(value)).toString("base64"),
+      })),
+    });
+    await proxy.poll();
+    const known = proxy.coordination.liveHosts()
+      .map(({ name, channel, weight }) => [name, channel, weight])
+      .toSorted();
+    expect(known).toEqual([
+      ["a", "a:2", 1_500],
+      ["odd", undefined, undefined],
+      ["old", undefined, undefined],
+    ]);
+  });
+
   describe("a full read", () => {
     it("does not replace a row that was written since", async () => {
       const proxy = new Proxy("a", rows);
