Run statements of all hosts on the connections of few

Cause: 144 hosts share instances that accept 73 connections, and accounts divide them further; each host with connections of its own opens and closes them all the time.

Change: ForwardingPools is the service `pools`; this proxy's own connections are `upstreamPools`. ForwardedLink sends statements, transactions and commands to the holder or the standby as long as none has begun them, else runs them on an own connection (LocalWork, which HolderService uses too). A holder tells refused, lost and not holder apart; STATUS is shared by requests that come before it is sent. A stop is announced first (HolderStop). Sessions take a refusal of a forwarded statement as one of acquiring, and don't count a lost holder against the instance. The stand-in of a group records accounts and statements, and limits connections.

Groups without accounts and with enough connections are as before.

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -98,6 +98,9 @@
   SHARE_CHANGED: event(604, "share-changed", "info"),
   LOAD_SHED: event(605, "load-shed", "warn"),
   CONNECTIONS_SCARCE: event(606, "connections-scarce", "info"),
+  HOLDER_CHANGED: event(620, "holder-changed", "info"),
+  HOLDER_STOPPING: event(621, "holder-stopping", "info"),
+  HOLDER_LEAVES: event(622, "holder-leaves", "info"),
 } as const satisfies Record<string, EventKind>;
 
 /** Fields of a log line in addition to the event's number and name. */
--- a/src/plugins/connections/upstream_plugin.ts
+++ b/src/plugins/connections/upstream_plugin.ts
@@ -1,5 +1,5 @@
 /**
- * Registers the `pools` service: the connection pools of the listed instances.
+ * Registers the pools of this proxy's own connections to the listed instances.
  *
  * @module
  */
@@ -10,12 +10,13 @@
   interface Services {
     /** Provided by the plug-in that implements the instances' protocol. */
     connector: InstanceConnector;
-    pools: UpstreamPools;
+    /** This proxy's own connections. */
+    upstreamPools: UpstreamPools;
   }
 }
 
 registerPlugin({
-  name: "pools",
+  name: "upstreamPools",
   needs: ["routes", "directory", "connector", "coordination"],
   create: ({ log, use, find }) => {
     const coordination = use("coordination");
@@ -25,7 +26,7 @@
       connector: use("connector"),
       proxies: () => coordination.liveHosts().length,
       log,
-      // `succession` depends on the pools, so it is looked up when it is needed.
+      // `succession` depends on these pools, so it is looked up when it is needed.
       onFailure: ({ group, id }) => find("succession")?.onFailure(group, id),
     });
   },
--- a/src/plugins/serving.ts
+++ b/src/plugins/serving.ts
@@ -6,6 +6,7 @@
  */
 import "./connections/upstream_plugin.ts";
 import "./deployment/plugin.ts";
+import "./forwarding/plugin.ts";
 import "./leadership/plugin.ts";
 import "./placement/plugin.ts";
 import "./sessions/plugin.ts";
--- a/src/plugins/sessions/primary_confirmation.ts
+++ b/src/plugins/sessions/primary_confirmation.ts
@@ -102,11 +102,12 @@
   });
   if (acquired.isErr()) return;
   const link = acquired.value;
-  context.succession.onRequest(group, leader.instance);
+  const { isForwarded } = link;
+  if (!isForwarded) context.succession.onRequest(group, leader.instance);
   const status = await link.status(deadline);
   if (status.isErr()) {
     if (!status.error.silent) link.release();
-    context.succession.onFailure(group, leader.instance);
+    if (!isForwarded) context.succession.onFailure(group, leader.instance);
     return;
   }
   link.release();
--- a/src/plugins/sessions/read_run.ts
+++ b/src/plugins/sessions/read_run.ts
@@ -13,7 +13,7 @@
 import { acquireLink, runOnLink } from "./link_run.ts";
 import {
   answered,
-  isOverload,
+  isFinal,
   noReadInstance,
   type Outcome,
   refused,
@@ -111,12 +111,13 @@
     if (wait > 0) await sleep(wait);
     const race = { won: false };
     const attempt = await hedge(
-      attemptRead(task, read, instance, position, race),
+      attemptRead(task, read, instance, position, race, excluded),
       () => {
         const other = placeRead(task, position, excluded);
         if (!other) return undefined;
-        excluded.add(other.instance);
-        return attemptRead(task, read, other.instance, position, race);
+        const { instance } = other;
+        excluded.add(instance);
+        return attemptRead(task, read, instance, position, race, excluded);
       },
     );
     race.won = true;
@@ -152,15 +153,13 @@
   position: Position,
   /** Whether the read has already ended through another attempt. */
   race: { readonly won: boolean },
+  /** Instances that are not tried again. */
+  excluded: Set<string>,
 ): Promise<Attempt> {
   const { context, route } = task;
   const leader = context.succession.leadership(route.group).current();
   const lease = await acquireLink(task, instance);
-  if (lease.isErr()) {
-    if (isOverload(lease.error)) return turnAway(task, instance, lease.error);
-    context.placement.recordFailure(instance);
-    return failedAttempt(task, instance, lease.error.message, position);
-  }
+  if (lease.isErr()) return notSent(task, instance, lease.error, position);
   const link = lease.value;
   if (race.won) {
     link.release();
@@ -168,13 +167,15 @@
   }
   const result = await runOnLink(task, link, read, position);
   if (result.isErr()) {
-    const { notSent } = result.error;
-    if (notSent) {
+    const { notSent: failure, reason, holderLost } = result.error;
+    if (failure) {
       link.release();
-      return turnAway(task, instance, notSent);
+      return notSent(task, instance, failure, position);
     }
-    context.placement.recordFailure(instance);
-    return failedAttempt(task, instance, result.error.reason, position);
+    // Nothing is known against the instance, which another proxy can reach.
+    if (holderLost) excluded.delete(instance);
+    else context.placement.recordFailure(instance);
+    return failedAttempt(task, instance, reason, position);
   }
   const answer = result.value;
   link.release(answer.fault === "busy");
@@ -216,6 +217,18 @@
   return { kind: "retry", reason: `${instance}: ${reason}` };
 }
 
+/** Ends an attempt that was not sent: the instance is overloaded or could not be reached. */
+function notSent(
+  task: Task,
+  instance: string,
+  failure: Failure,
+  position: Position,
+): Attempt {
+  if (isFinal(failure)) return turnAway(task, instance, failure);
+  task.context.placement.recordFailure(instance);
+  return failedAttempt(task, instance, failure.message, position);
+}
+
 function turnAway(
   task: Task,
   instance: string,
--- a/src/plugins/sessions/transaction.ts
+++ b/src/plugins/sessions/transaction.ts
@@ -163,21 +163,22 @@
     );
     if (!leave) return err(noConnection(route.group, instance));
     const acquired = await acquireLink(task, instance);
-    if (acquired.isErr()) {
+    const notBegun = (failure: Failure) => {
       leave();
-      if (!isOverload(acquired.error)) placement.recordFailure(instance);
-      context.requests.attemptFailed(
-        task,
-        instance,
-        acquired.error.message,
-        {},
-      );
-      return err(acquired.error);
-    }
+      if (!isOverload(failure)) placement.recordFailure(instance);
+      context.requests.attemptFailed(task, instance, failure.message, {});
+      return err(failure);
+    };
+    if (acquired.isErr()) return notBegun(acquired.error);
     const link = acquired.value;
     prepareLink(link, task);
     const result = await link.begin({ readOnly, after }, deadline);
     if (result.isErr()) {
+      const { notSent } = result.error;
+      if (notSent) {
+        link.release();
+        return notBegun(notSent);
+      }
       leave();
       if (!result.error.holderLost) placement.recordFailure(instance);
       recordLoss(task, link);
@@ -257,7 +258,11 @@
     task.session.track(running);
     const result = await running;
     if (result.isErr()) {
-      const { reason } = result.error;
+      const { notSent, reason } = result.error;
+      if (notSent) {
+        this.abandon();
+        return refused(transactionLost(`the commit was not sent: ${reason}`));
+      }
       if (!this.#wrote) return this.#connectionLost(task, reason);
       this.#fail(task);
       return refused(outcomeUnknown(
--- a/standins/line_group/connection.ts
+++ b/standins/line_group/connection.ts
@@ -24,10 +24,12 @@
   readonly #member: Member;
   readonly #name: string;
   readonly #workTime: number;
+  readonly #maxConnections: number;
   readonly #socket: Socket;
   readonly #values = new Map<string, string>();
   readonly #prepared = new Map<string, Prepared>();
-  #started = false;
+  /** Account that the connection was opened for; undefined before its startup. */
+  #account: string | undefined;
   #state: State = "I";
   #plain = false;
   #writes: Write[] = [];
@@ -37,12 +39,17 @@
     group: Group,
     member: Member,
     socket: Socket,
-    options: { readonly name: string; readonly workTime: number },
+    options: {
+      readonly name: string;
+      readonly workTime: number;
+      readonly maxConnections: number;
+    },
   ) {
     this.#group = group;
     this.#member = member;
     this.#name = options.name;
     this.#workTime = options.workTime;
+    this.#maxConnections = options.maxConnections;
     this.#socket = socket;
     socket.on("error", () => {});
     socket.setNoDelay(true);
@@ -54,7 +61,7 @@
     if (line.length > MESSAGE_MAX_BYTES) return void this.#socket.destroy();
     const [word, id = "-", ...rest] = line.split(" ");
     if (word === "TERMINATE") return void this.#socket.end();
-    if (!this.#started) return this.#startup(word!, id, rest[1]);
+    if (this.#account === undefined) return this.#startup(word!, id, rest);
     const [error, row] = this.#run(id, rest.join(" "));
     const out = row === undefined ? "" : `DATAROW ${row}\r\n`;
     const end = error
@@ -66,15 +73,23 @@
 
   /** Sends an answer after the time that the group's work takes. */
   #answer(answer: string): void {
-    if (this.#workTime === 0) return void this.#socket.write(answer);
-    setTimeout(() => this.#socket.write(answer), this.#workTime);
+    const time = this.#workTime + this.#member.delay;
+    if (time === 0) return void this.#socket.write(answer);
+    setTimeout(() => this.#socket.write(answer), time);
   }
 
-  #startup(word: string, name: string, expected: string | undefined): void {
+  #startup(
+    word: string,
+    name: string,
+    [account = "", expected]: readonly string[],
+  ): void {
     const wrong = word !== "STARTUP" || name !== this.#name ||
       (expected !== undefined && expected !== this.#member.id);
     if (wrong) return void this.#socket.end("ERROR MISROUTED no\r\n");
-    this.#started = true;
+    const leave = this.#member.connect(account, this.#maxConnections);
+    if (!leave) return void this.#socket.end("ERROR TOOMANY no\r\n");
+    this.#socket.once("close", leave);
+    this.#account = account;
     this.#socket.write(`READY I ${this.#member.position(0)}\r\n`);
   }
 
@@ -91,6 +106,9 @@
       return ["LAGGING"];
     }
     const [word, first = "", ...rest] = text.split(" ");
+    if (id !== "-") {
+      this.#member.recordRun({ id, word: word!, account: this.#account! });
+    }
     // The last field extends to the end of the line.
     const argument = [first, ...rest].join(" ");
     switch (word) {
--- a/standins/line_group/group.ts
+++ b/standins/line_group/group.ts
@@ -30,6 +30,18 @@
 /** Number of executions that an instance tells of. */
 const EXECUTIONS_KEPT = 200;
 
+/** A caller's statement that an instance ran. */
+export interface Run {
+  readonly id: string;
+  /** First word of the statement. */
+  readonly word: string;
+  /** Account that its connection was opened for. */
+  readonly account: string;
+}
+
+/** Number of statements that an instance tells of. */
+const RUNS_KEPT = 5_000;
+
 /** How an instance can be reached. */
 export type Reach = "up" | "dead" | "dark";
 
@@ -44,6 +56,17 @@
   mostPrepared = 0;
   /** Statements under names that their connections did not have. */
   unknownStatements = 0;
+  /** The latest statements of callers. */
+  readonly ran: Run[] = [];
+  /** Open connections by account. */
+  readonly connections: Record<string, number> = {};
+  /** Connections that were opened, and those that were refused since there were too many. */
+  opened = 0;
+  refused = 0;
+  /** Most connections that were open at a time. */
+  mostOpen = 0;
+  /** Time by which its answers come later, in ms. */
+  delay = 0;
   /** The latest executions. */
   readonly executed: Execution[] = [];
   /** Entries of the log that its data show. */
@@ -58,6 +81,28 @@
     this.id = id;
   }
 
+  /** Records a connection of an account; returns a function that records its end, or undefined if there are too many. */
+  connect(account: string, limit: number): (() => void) | undefined {
+    const open = Object.values(this.connections)
+      .reduce((total, count) => total + count, 0);
+    if (open >= limit) {
+      this.refused += 1;
+      return undefined;
+    }
+    this.opened += 1;
+    this.mostOpen = Math.max(this.mostOpen, open + 1);
+    this.connections[account] = (this.connections[account] ?? 0) + 1;
+    return () => {
+      this.connections[account]! -= 1;
+    };
+  }
+
+  /** Records a caller's statement and forgets the oldest beyond a limit. */
+  recordRun(run: Run): void {
+    this.ran.push(run);
+    if (this.ran.length > RUNS_KEPT) this.ran.shift();
+  }
+
   /** Records the number of statements that are prepared on a connection. */
   recordPrepared(count: number): void {
     this.mostPrepared = Math.max(this.mostPrepared, count);
--- a/standins/line_group/main.ts
+++ b/standins/line_group/main.ts
@@ -32,6 +32,8 @@
   lag: z.coerce.number().min(0).default(20),
   /** Time from a statement's run to its answer, in ms. */
   workTime: z.coerce.number().min(0).default(0),
+  /** Connections that an instance accepts. */
+  maxConnections: z.coerce.number().int().min(1).default(10_000),
   /** Time that a promotion takes, in ms. */
   promoteTime: z.coerce.number().min(0).default(150),
 });
@@ -49,8 +51,8 @@
 for (const member of group.members) await open(member);
 
 const control = createHttpServer((request, response) => {
-  const [, action = "", id = ""] = (request.url ?? "/").split("/");
-  void obey(action, id).then((done) => {
+  const [, action = "", id = "", value] = (request.url ?? "/").split("/");
+  void obey(action, id, value).then((done) => {
     response.writeHead(done ? 200 : 409);
     response.end(JSON.stringify(group.members.map((member) => ({
       ...member,
@@ -88,7 +90,11 @@
   });
 }
 
-async function obey(action: string, id: string): Promise<boolean> {
+async function obey(
+  action: string,
+  id: string,
+  value: string | undefined,
+): Promise<boolean> {
   const member = group.member(id);
   if (action === "promote") {
     return member ? await group.promote(member) : false;
@@ -107,6 +113,9 @@
       if (member.reach === "dead") await open(member);
       member.reach = "up";
       return true;
+    case "delay":
+      member.delay = Number(value);
+      return true;
     case "deafen":
       member.deaf = true;
       return true;
