--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -58,6 +58,8 @@
   RELAY_FAILED: event(317, "relay-failed", "info"),
   HOST_ENTRY_SKIPPED: event(318, "host-entry-skipped", "warn"),
   PLATFORM_RECOVERED: event(320, "platform-recovered", "info"),
+  CHANNEL_LOST: event(330, "channel-lost", "info"),
+  CHANNEL_MALFORMED: event(331, "channel-malformed", "warn"),
   CALLER_CONNECTED: event(401, "caller-connected", "debug"),
   CALLER_DISCONNECTED: event(402, "caller-disconnected", "debug"),
   CALLER_REFUSED: event(403, "caller-refused", "warn"),
@@ -96,6 +98,9 @@
   SHARE_CHANGED: event(604, "share-changed", "info"),
   LOAD_SHED: event(605, "load-shed", "warn"),
   CONNECTIONS_SCARCE: event(606, "connections-scarce", "info"),
+  HOLDER_CHANGED: event(620, "holder-changed", "info"),
+  HOLDER_STOPPING: event(621, "holder-stopping", "info"),
+  HOLDER_LEAVES: event(622, "holder-leaves", "info"),
 } as const satisfies Record<string, EventKind>;
 
 /** Fields of a log line in addition to the event's number and name. */
