Hold the connections of scheduled groups at few hosts

Cause: forwarding knew the holders, and the pools had a fair queue and connections by account, but neither used the other.

--- a/src/plugins/connections/upstream_plugin.ts
+++ b/src/plugins/connections/upstream_plugin.ts
@@ -17,14 +17,17 @@
 
 registerPlugin({
   name: "upstreamPools",
-  needs: ["routes", "directory", "connector", "coordination"],
+  needs: ["routes", "directory", "connector", "coordination", "holderRule"],
   create: ({ log, use, find }) => {
     const coordination = use("coordination");
+    const rule = use("holderRule");
     return new UpstreamPools({
       directory: use("directory"),
       routes: use("routes"),
       connector: use("connector"),
       proxies: () => coordination.liveHosts().length,
+      isScheduled: (group) => rule.isScheduled(group),
+      scheduledShare: ({ id }) => rule.scheduledShare(id),
       log,
       // `succession` depends on these pools, so it is looked up when it is needed.
       onFailure: ({ group, id }) => find("succession")?.onFailure(group, id),
