--- a/src/plugins/forwarding/forwarded_link.ts
+++ b/src/plugins/forwarding/forwarded_link.ts
@@ -23,6 +23,7 @@
   ForwardedOutcome,
   ForwardingCounters,
 } from "./forwarding_counters.ts";
+import type { HolderLoads } from "./holder_loads.ts";
 import type { LocalTransaction } from "./local_transaction.ts";
 import { type LocalWork, refused } from "./local_work.ts";
 import { instanceLoss, RemoteTransaction } from "./remote_transaction.ts";
@@ -50,6 +51,7 @@
   readonly channels: PeerChannels;
   readonly sender: WorkSender;
   readonly local: LocalWork;
+  readonly loads: HolderLoads;
   readonly counters: ForwardingCounters;
   /** A link begins or ends to have work or a transaction at its instance. */
   readonly onActive: (link: ForwardedLink) => void;
@@ -152,14 +154,15 @@
       // It may be open there, or become so.
       channels.send(channel, WorkKinds.END, writeEnd(number));
     } else if (result.isOk() && result.value.state === "open") {
-      const waits = this.#waits;
+      const { loads } = this.#context;
       const open = new RemoteTransaction({
         channels,
         sender,
         channel,
         number,
         values,
-        waits,
+        waits: this.#waits,
+        onLoad: (load) => loads.record(this.instance, load),
       });
       this.#openTransaction({ kind: "remote", open });
     }
--- a/src/plugins/forwarding/forwarding_pools.ts
+++ b/src/plugins/forwarding/forwarding_pools.ts
@@ -15,7 +15,6 @@
 } from "../deployment/instance_directory.ts";
 import type { UpstreamLink } from "../upstream/link.ts";
 import { ForwardedLink, type ForwardingContext } from "./forwarded_link.ts";
-import type { HolderLoads } from "./holder_loads.ts";
 import type { HolderShares } from "./holder_shares.ts";
 import type { ScheduledGroups } from "./scheduled_groups.ts";
 
@@ -27,7 +26,6 @@
   readonly directory: Pick<InstanceDirectory, "get">;
   readonly scheduled: Pick<ScheduledGroups, "isScheduled">;
   readonly shares: Pick<HolderShares, "role">;
-  readonly loads: HolderLoads;
 }
 
 /** Gives sessions links to instances, whoever holds the connections. */
--- a/src/plugins/forwarding/remote_transaction.ts
+++ b/src/plugins/forwarding/remote_transaction.ts
@@ -37,6 +37,8 @@
   /** Values with which it was begun. */
   readonly values: ValueList;
   readonly waits: ReplyWaits;
+  /** Called with what the holder says of the load of the instance. */
+  readonly onLoad: (load: number) => void;
 }
 
 /** A transaction at a holder. Its statements go over the connection on which it was begun, in order. */
@@ -98,12 +100,13 @@
     body: unknown,
     deadline: number,
   ): LinkResult<Answer> {
-    const { channels, channel, waits } = this.#options;
+    const { channels, channel, waits, onLoad } = this.#options;
     const call = channels.call(channel, kind, body, callTimeout(deadline));
     const outcome = await waits.wait(call, deadline);
     if (outcome.kind === "lost") return err(outcome.loss);
     if (outcome.kind === "not received") return this.#lose(outcome.reason);
-    const { reply, sentAt } = outcome.reply;
+    const { reply, sentAt, load } = outcome.reply;
+    onLoad(load);
     switch (reply.kind) {
       case "answer":
         if (reply.answer.state === "idle") this.#hasEnded = true;
