--- a/src/plugins/forwarding/holder_service.ts
+++ b/src/plugins/forwarding/holder_service.ts
@@ -265,6 +265,7 @@
     peer.onEnd(() => {
       this.#senders.delete(peer);
       held.end();
+      this.#options.counters.heldTransactions = this.#transactionCount();
     });
     return held;
   }
--- a/src/plugins/metrics/metrics_server.ts
+++ b/src/plugins/metrics/metrics_server.ts
@@ -15,6 +15,17 @@
 
 const QUANTILES: readonly number[] = [0.5, 0.9, 0.99, 0.999];
 
+/** One value of a metric. */
+export interface MetricSample {
+  /** Name without the prefix of the product. */
+  readonly name: string;
+  readonly labels: Labels;
+  readonly value: number;
+}
+
+/** Returns the samples of one part of the product; their number must be bounded. */
+export type MetricCollector = () => readonly MetricSample[];
+
 /** Sources of the exported metrics. */
 export interface MetricsSources {
   readonly requests: RequestCounters;
@@ -27,10 +38,12 @@
   readonly storeConfirmationAge: () => number;
   /** Number of log lines dropped because of a slow reader. */
   readonly droppedLogLines: () => number;
+  /** Further metrics. */
+  readonly collectors?: readonly MetricCollector[];
 }
 
 /** Values of labels by name. */
-type Labels = Readonly<Record<string, string>>;
+export type Labels = Readonly<Record<string, string>>;
 
 /** HTTP server for the path /metrics. */
 export class MetricsServer {
@@ -116,6 +129,11 @@
     );
     addSample("log_lines_sampled_out_total", {}, requests.omittedLogLines);
     addSample("log_lines_dropped_total", {}, this.#sources.droppedLogLines());
+    for (const collect of this.#sources.collectors ?? []) {
+      for (const { name, labels, value } of collect()) {
+        addSample(name, labels, value);
+      }
+    }
     return lines.join("\n") + "\n";
   }
 }
--- a/standins/line_group/connection.ts
+++ b/standins/line_group/connection.ts
@@ -74,8 +74,9 @@
   /** Sends an answer after the time that the group's work takes. */
   #answer(answer: string): void {
     const time = this.#workTime + this.#member.delay;
-    if (time === 0) return void this.#socket.write(answer);
-    setTimeout(() => this.#socket.write(answer), time);
+    // The lines were read as latin1, so each byte that a caller sent comes back as it was.
+    if (time === 0) return void this.#socket.write(answer, "latin1");
+    setTimeout(() => this.#socket.write(answer, "latin1"), time);
   }
 
   #startup(
