Keep the rows of absent hosts for 150 s where accounts have limits

Cause: limits are divided among the rows of hosts. A host that is cut off from the store goes on serving, but its row was removed 30 s after it was marked as absent, so the others took over its part while it still used it.

Change: HostWatch removes such rows after 150 s if the configuration limits any account, and after 30 s as before otherwise.

--- a/src/plugins/leadership/cached_rows.ts
+++ b/src/plugins/leadership/cached_rows.ts
@@ -43,8 +43,9 @@
   /** The proxies that are not marked absent; the same list until it changes. */
   liveHosts(): readonly LiveHost[] {
     this.#liveHosts ??= [...this.hostRows].flatMap(([name, { value }]) => {
-      const { address, zone, absentSince } = value;
-      return absentSince === undefined ? [{ name, address, zone }] : [];
+      const { address, zone, channels, absentSince } = value;
+      if (absentSince !== undefined) return [];
+      return [{ name, address, zone, channels }];
     });
     return this.#liveHosts;
   }
--- a/src/plugins/leadership/coordination.ts
+++ b/src/plugins/leadership/coordination.ts
@@ -40,6 +40,8 @@
   readonly address: string;
   /** Availability zone; undefined in a row of an earlier release. */
   readonly zone?: string;
+  /** Host and port of the proxy's channels; undefined in a row of an earlier release. */
+  readonly channels?: string;
   /**
    * Time on the store's clock, in ms, at which another proxy found this one
    * unresponsive; the proxy must rewrite its row before it uses a primary
@@ -135,6 +137,8 @@
   readonly name: string;
   readonly address: string;
   readonly zone: string | undefined;
+  /** Host and port of its channels; undefined in a row of an earlier release. */
+  readonly channels?: string;
 }
 
 /** Orders the promotion of an instance to the primary of its group. */
--- a/src/plugins/leadership/host_watch.ts
+++ b/src/plugins/leadership/host_watch.ts
@@ -34,12 +34,21 @@
 /** Time after which the row of an absent proxy is removed, in ms; many times the lease that it may have held. */
 export const REMOVE_AFTER_MS = 30_000;
 
+/**
+ * The same where accounts have limits, in ms. The limits are divided among the
+ * rows of proxies, and a proxy that the store does not answer uses its part for
+ * 120 s: its row must outlive that.
+ */
+export const ROW_RETENTION_MS = 150_000;
+
 /** Dependencies of a host watch. */
 export interface HostWatchOptions {
   /** Name of this proxy. */
   readonly proxy: string;
   readonly coordination: Coordination;
   readonly probe: LivenessProbe;
+  /** Whether limits of accounts are divided among the rows of proxies. */
+  readonly dividesLimits?: () => boolean;
   readonly log: EventLog;
 }
 
@@ -155,11 +164,12 @@
 
   /** Removes the rows of long absent proxies between this one and the next live one. */
   async #removeLongAbsent(): Promise<void> {
-    const { coordination, log } = this.#options;
+    const { coordination, dividesLimits, log } = this.#options;
+    const removeAfter = dividesLimits?.() ? ROW_RETENTION_MS : REMOVE_AFTER_MS;
     const ring = this.#ring();
     const nextAlive = ring.findIndex((name) => !this.#isAbsent(name));
     const absent = (nextAlive < 0 ? ring : ring.slice(0, nextAlive))
-      .filter((name) => (coordination.absentFor(name) ?? 0) > REMOVE_AFTER_MS);
+      .filter((name) => (coordination.absentFor(name) ?? 0) > removeAfter);
     if (absent.length === 0) return;
     const written = await coordination.removeAbsent(absent);
     log.write(Events.PEER_REMOVED, {
--- a/src/plugins/leadership/plugin.ts
+++ b/src/plugins/leadership/plugin.ts
@@ -74,14 +74,17 @@
 
 registerPlugin({
   name: "hostWatch",
-  needs: ["place", "coordination", "peers"],
+  needs: ["place", "routes", "coordination", "peers"],
   create: ({ log, use }) => {
     const peers = use("peers");
+    const routes = use("routes");
     serveProbes(peers);
     return new HostWatch({
       proxy: use("place").proxy,
       coordination: use("coordination"),
       probe: createLivenessProbe(peers),
+      dividesLimits: () =>
+        routes.table?.accounts?.all().some(({ limit }) => limit) ?? false,
       log,
     });
   },
