Limit the operations of an account over all hosts

Cause: rate and burst of an account are limits over all hosts together; no host knew of the operations that others admit.

Change: src/plugins/quotas. Events 641 to 643.

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -96,6 +96,9 @@
   SHARE_CHANGED: event(604, "share-changed", "info"),
   LOAD_SHED: event(605, "load-shed", "warn"),
   CONNECTIONS_SCARCE: event(606, "connections-scarce", "info"),
+  QUOTA_COORDINATOR_CHANGED: event(641, "quota-coordinator", "info"),
+  QUOTA_EXHAUSTED: event(642, "quota-exhausted", "info"),
+  QUOTA_DELEGATION_LAPSED: event(643, "quota-delegation-lapsed", "warn"),
 } as const satisfies Record<string, EventKind>;
 
 /** Fields of a log line in addition to the event's number and name. */
--- /dev/null
+++ b/src/plugins/quotas/roster.ts
@@ -0,0 +1,189 @@
+/**
+ * The hosts among which the limits are divided, as one host knows them from the
+ * rows of the store.
+ *
+ * Every host that uses a part counts at least all hosts that use one, so the
+ * parts never add up to more than the limits. For this a host stops to use its
+ * part before others may remove its row, goes on counting a host for a while
+ * after its row has gone, and uses its part for the first time only when the
+ * others count it (see census.ts).
+ *
+ * @module
+ */
+import type { Coordination } from "../leadership/coordination.ts";
+import { LowestCount } from "./lowest_count.ts";
+import { orderNames } from "./rendezvous.ts";
+import {
+  DEPARTED_MS,
+  JOIN_SETTLING_MS,
+  PART_LEASE_MS,
+  UNCONFIRMED_JOIN_MS,
+} from "./timing.ts";
+
+/**
+ * Tokens that exist beyond the quota, one at most for each of so many hosts, so
+ * that parts of less than a token can admit something. Of the 20 operations that
+ * may run beyond a limit, 4 are left for rounding.
+ */
+const RESERVED_TOKENS = 16;
+
+/** The rows of hosts. */
+export type HostRows = Pick<
+  Coordination,
+  "incarnation" | "version" | "confirmedAt" | "hosts" | "liveHosts"
+>;
+
+/** A host that can be called. */
+export interface Candidate {
+  readonly name: string;
+  /** Host and port of its channels. */
+  readonly endpoint: string;
+}
+
+/** Number and order of the hosts, and whether this one may use its part. */
+export class Roster {
+  readonly #proxy: string;
+  readonly #endpoint: string;
+  readonly #rows: HostRows;
+  readonly #lowest: LowestCount;
+  #live: unknown;
+  #names: ReadonlySet<string> = new Set();
+  /** Hosts whose rows have gone, with the clock ms until which they count. */
+  readonly #departed = new Map<string, number>();
+  #candidates: readonly Candidate[] = [];
+  readonly #orders = new Map<string, readonly Candidate[]>();
+  readonly #reserved = new Map<string, ReadonlySet<string>>();
+  #confirmedAt = -Infinity;
+  /** Clock ms since which this host's row is known here. */
+  #presentSince: number | undefined;
+  #joinedAt = Infinity;
+  /** Number of parts that another host counts, until the clock ms behind it. */
+  #told = { parts: 0, until: 0 };
+  #isLeaving = false;
+
+  constructor(proxy: string, endpoint: string, rows: HostRows, now: number) {
+    this.#proxy = proxy;
+    this.#endpoint = endpoint;
+    this.#rows = rows;
+    this.#lowest = new LowestCount(now);
+  }
+
+  /** Reads the rows again; returns whether the hosts have changed. */
+  refresh(now: number): boolean {
+    const rows = this.#rows;
+    this.#observeOwnRow(now);
+    const live = rows.liveHosts();
+    const hosts = rows.hosts();
+    if (live === this.#live && hosts.size === this.#names.size) return false;
+    this.#live = live;
+    this.#lowest.record(hosts.size, now);
+    for (const name of this.#names) {
+      if (!hosts.has(name)) this.#departed.set(name, now + DEPARTED_MS);
+    }
+    for (const name of hosts.keys()) this.#departed.delete(name);
+    this.#names = new Set(hosts.keys());
+    this.#candidates = live.flatMap(({ name, channels }) => {
+      const endpoint = name === this.#proxy ? this.#endpoint : channels;
+      return endpoint ? [{ name, endpoint }] : [];
+    });
+    this.#orders.clear();
+    this.#reserved.clear();
+    return true;
+  }
+
+  /** Number of hosts among which the limits are divided. */
+  size(now: number): number {
+    for (const [name, until] of this.#departed) {
+      if (until <= now) this.#departed.delete(name);
+    }
+    const told = now < this.#told.until ? this.#told.parts : 0;
+    return Math.max(1, told, this.#names.size + this.#departed.size);
+  }
+
+  /** Fraction of the limits that this host may use or delegate now. */
+  share(now: number): number {
+    if (this.#isLeaving || !this.hasJoined(now)) return 0;
+    return now < this.#confirmedAt + PART_LEASE_MS ? 1 / this.size(now) : 0;
+  }
+
+  /** Whether the other hosts count this one, so that it has a part. */
+  hasJoined(now: number): boolean {
+    if (this.#presentSince === undefined) return false;
+    return now >= this.#joinedAt ||
+      now >= this.#presentSince + UNCONFIRMED_JOIN_MS;
+  }
+
+  /** Whether the hosts must still be asked whether they count this one. */
+  get mustJoin(): boolean {
+    return this.#presentSince !== undefined && this.#joinedAt === Infinity;
+  }
+
+  /** Records that all hosts that use parts count this one. */
+  confirmJoin(parts: number, lowest: number, now: number): void {
+    this.#joinedAt = now + JOIN_SETTLING_MS;
+    this.#told = { parts, until: this.#joinedAt + DEPARTED_MS };
+    this.#lowest.inherit(lowest, now);
+  }
+
+  /** Stops to use this host's part for good, before its row is removed. */
+  leave(): void {
+    this.#isLeaving = true;
+  }
+
+  /** Least number of rows of the last minutes; 0 if unknown. */
+  lowest(now: number): number {
+    return this.#lowest.value(now);
+  }
+
+  /** The live hosts that can be called. */
+  get candidates(): readonly Candidate[] {
+    return this.#candidates;
+  }
+
+  /** Sum of the shares of the live hosts. */
+  liveShare(now: number): number {
+    return this.#candidates.length / this.size(now);
+  }
+
+  /** The live hosts in the order in which they coordinate what the key names. */
+  order(key: string): readonly Candidate[] {
+    const known = this.#orders.get(key);
+    if (known) return known;
+    const byName = new Map(this.#candidates.map((item) => [item.name, item]));
+    const order = orderNames(key, byName.keys())
+      .map((name) => byName.get(name)!);
+    this.#orders.set(key, order);
+    return order;
+  }
+
+  /** The hosts that an account's reserved tokens belong to. */
+  reserved(account: string): ReadonlySet<string> {
+    const known = this.#reserved.get(account);
+    if (known) return known;
+    const names = [...this.#names, ...this.#departed.keys()];
+    const reserved = new Set(
+      orderNames(account, names).slice(0, RESERVED_TOKENS),
+    );
+    this.#reserved.set(account, reserved);
+    return reserved;
+  }
+
+  /** Whether one of an account's reserved tokens belongs to this host. */
+  isReserved(account: string): boolean {
+    return this.reserved(account).has(this.#proxy);
+  }
+
+  #observeOwnRow(now: number): void {
+    const rows = this.#rows;
+    const own = rows.hosts().get(this.#proxy)?.value;
+    if (own?.incarnation !== rows.incarnation) {
+      // Removed by others, or replaced by a later run: the part belongs to nobody, or to that run.
+      this.#presentSince = undefined;
+      this.#joinedAt = Infinity;
+      this.#confirmedAt = -Infinity;
+      return;
+    }
+    this.#presentSince ??= now;
+    this.#confirmedAt = Math.max(this.#confirmedAt, rows.confirmedAt);
+  }
+}
--- /dev/null
+++ b/src/plugins/quotas/shard_coordinator.ts
@@ -0,0 +1,307 @@
+/**
+ * Decides for one shard how the tokens of the parts that are delegated to this
+ * host are given to hosts. It knows no network: it is given requests and returns
+ * answers. Any number of hosts may coordinate a shard at the same time, since
+ * each part is delegated to one of them only.
+ *
+ * @module
+ */
+import type { LimitedAccount } from "./limited_accounts.ts";
+import type { Answer, Ask, Grant, Want } from "./messages.ts";
+import { type Handover, partCapacity } from "./part.ts";
+import { DELEGATION_MS, RETRY_REQUEST_MS, SETTLING_MS } from "./timing.ts";
+import { accrue } from "./token_bucket.ts";
+import { TokenPool } from "./token_pool.ts";
+
+/** Time after its first request within which a coordinator expects the other hosts' parts, in ms: hosts that lost another coordinator come after 1,550 ms. */
+const START_SETTLING_MS = 2_000;
+
+/** Fraction of the parts of live hosts from which on no more parts are expected. */
+const COMPLETE_FRACTION = 0.97;
+
+/** Time in ms after its last request for which a host's sequence number is kept; a message that comes twice comes within seconds. */
+const BORROWER_KEPT_MS = 60_000;
+
+/** Time in ms without work after which a host no longer counts as one that has work. */
+const WORK_MS = 3_000;
+
+/** Fraction of the rate of the hosts with work up to which an account needs no others' parts. */
+const OWN_RATE_FRACTION = 0.5;
+
+/** Tokens that the parts of the hosts with work must be able to hold for an account, or others' parts are needed. */
+const OWN_CAPACITY_MIN = 2;
+
+/** Time in ms after which a host may ask again for an account that is unknown here; versions of the configuration spread within a second. */
+const UNKNOWN_PAUSE_MS = 200;
+
+/** What a coordinator asks about the other hosts. */
+export interface Surroundings {
+  /** Hosts that an account's reserved tokens belong to. */
+  reserved(account: string): ReadonlySet<string>;
+  /** Sum of the shares of all live hosts. */
+  liveShare(): number;
+  /** Asks idle hosts for their parts, since an account is short of tokens; returns whether parts are to be expected. */
+  requestParts(): boolean;
+}
+
+/** A host whose part is delegated to this coordinator. */
+interface Member {
+  readonly share: number;
+  readonly expiresAt: number;
+}
+
+/** A run of a host's process that has sent requests. */
+interface Borrower {
+  readonly sequence: number;
+  readonly askedAt: number;
+}
+
+/** Coordinates one shard. Its times are those of this host's clock. */
+export class ShardCoordinator {
+  /** Identifies the run of this process in answers. */
+  readonly #life: string;
+  readonly #surroundings: Surroundings;
+  readonly #members = new Map<string, Member>();
+  readonly #borrowers = new Map<string, Borrower>();
+  /** When each host last wanted tokens. */
+  readonly #workedAt = new Map<string, number>();
+  /** By account id. */
+  readonly #pools = new Map<string, TokenPool>();
+  #share = 0;
+  #nextExpiry = Infinity;
+  #settlingUntil: number;
+  #askedAt: number;
+  /** Host that coordinates the shard from now on, as far as hosts reach it. */
+  successor: string | undefined;
+
+  constructor(
+    life: string,
+    accounts: readonly LimitedAccount[],
+    surroundings: Surroundings,
+    now: number,
+  ) {
+    this.#life = life;
+    this.#surroundings = surroundings;
+    this.#settlingUntil = now + START_SETTLING_MS;
+    this.#askedAt = now;
+    this.setAccounts(accounts, now);
+  }
+
+  /** Sum of the shares that are delegated. */
+  share(now: number): number {
+    this.#expire(now);
+    return this.#share;
+  }
+
+  /** Names of the hosts whose parts are delegated. */
+  members(now: number): ReadonlySet<string> {
+    this.#expire(now);
+    return new Set(this.#members.keys());
+  }
+
+  /** Clock ms of the last request. */
+  get askedAt(): number {
+    return this.#askedAt;
+  }
+
+  /** Replaces the accounts and their limits; tokens above a lowered limit are dropped. */
+  setAccounts(accounts: readonly LimitedAccount[], now: number): void {
+    this.#expire(now);
+    this.#settleAll(now);
+    const ids = new Set(accounts.map(({ id }) => id));
+    for (const id of this.#pools.keys()) {
+      if (!ids.has(id)) this.#pools.delete(id);
+    }
+    for (const account of accounts) {
+      const pool = this.#pools.get(account.id);
+      if (pool) pool.account = account;
+      else this.#pools.set(account.id, new TokenPool(account, now));
+    }
+    this.#settleAll(now);
+  }
+
+  /** Answers a request of a host; undefined if it has sent a later one. */
+  handle(host: string, ask: Ask, now: number): Answer | undefined {
+    this.#expire(now);
+    this.#askedAt = now;
+    const { successor } = this;
+    const borrower = `${host}/${ask.life}`;
+    const known = this.#borrowers.get(borrower);
+    // A request that comes twice or late reports tokens as used that a later one was given.
+    if (known && ask.sequence <= known.sequence) return undefined;
+    this.#borrowers.set(borrower, { sequence: ask.sequence, askedAt: now });
+    this.#updateMember(host, ask, now);
+    if (ask.wants.length > 0) this.#workedAt.set(host, now);
+    const grants = ask.wants.flatMap((want) => {
+      const grant = this.#grant(borrower, want, now);
+      return grant ? [grant] : [];
+    });
+    return { life: this.#life, successor, grants };
+  }
+
+  /** Whether accounts with work need the parts of hosts that have none. */
+  needsIdleHosts(now: number): boolean {
+    this.#expire(now);
+    const share = this.#workingShare(now);
+    return [...this.#pools.values()].some((pool) => {
+      const { quota } = pool.account;
+      const use = pool.use(now);
+      if (!quota || use * WORK_MS < 1) return false;
+      return use > quota.rate * share * OWN_RATE_FRACTION ||
+        quota.capacity * share < OWN_CAPACITY_MIN;
+    });
+  }
+
+  /** Names of the hosts that have wanted tokens lately. */
+  working(now: number): ReadonlySet<string> {
+    return new Set(
+      [...this.#workedAt]
+        .filter(([, workedAt]) => workedAt > now - WORK_MS)
+        .map(([host]) => host),
+    );
+  }
+
+  /** Forgets hosts that have not asked for long. */
+  prune(now: number): void {
+    for (const [borrower, { askedAt }] of this.#borrowers) {
+      if (askedAt < now - BORROWER_KEPT_MS) this.#borrowers.delete(borrower);
+    }
+    for (const [host, workedAt] of this.#workedAt) {
+      if (workedAt < now - WORK_MS) this.#workedAt.delete(host);
+    }
+  }
+
+  #updateMember(host: string, ask: Ask, now: number): void {
+    const present = this.#members.get(host);
+    if (ask.parts === 0) {
+      if (present) this.#setMember(host, undefined, now);
+      return;
+    }
+    // A stamp of an earlier run of this process says nothing about this one's clock.
+    if (ask.coordinatorLife !== this.#life || ask.sentAt > now) return;
+    const expiresAt = ask.sentAt + DELEGATION_MS;
+    if (expiresAt <= now) return;
+    const share = 1 / Math.max(1, ask.parts);
+    if (present?.share === share) {
+      this.#members.set(host, { share, expiresAt });
+      return;
+    }
+    this.#setMember(host, { share, expiresAt }, now);
+    if (present) return;
+    this.#settlingUntil = Math.max(this.#settlingUntil, now + SETTLING_MS);
+    if (ask.handover) this.#credit(host, share, ask.handover);
+  }
+
+  /** Adds the tokens that a part has collected at its host. */
+  #credit(host: string, share: number, handover: Handover): void {
+    const levels = new Map(handover.levels);
+    for (const pool of this.#pools.values()) {
+      const { account } = pool;
+      const collected = levels.get(account.id) ??
+        accrue((account.quota?.rate ?? 0) * share, handover.elapsed);
+      if (collected === 0) continue;
+      const ownCapacity = this.#isReserved(account, share, host)
+        ? partCapacity(account, share, true)
+        : partCapacity(account, share, false);
+      pool.credit(Math.min(collected, ownCapacity), this.#capacity(account));
+    }
+  }
+
+  #grant(borrower: string, want: Want, now: number): Grant | undefined {
+    const pool = this.#pools.get(want.id);
+    if (!pool) {
+      // This host does not know the account yet, or no longer.
+      return {
+        id: want.id,
+        granted: 0,
+        pause: UNKNOWN_PAUSE_MS,
+        expected: true,
+      };
+    }
+    this.#settle(pool, now);
+    pool.report(borrower, want.unused, now);
+    const granted = pool.lend(borrower, want, now);
+    const isServed = granted >= want.waiting;
+    if (isServed) {
+      return granted > 0
+        ? { id: want.id, granted, pause: 0, expected: false }
+        : undefined;
+    }
+    const rate = (pool.account.quota?.rate ?? 0) * this.#share;
+    const expected = this.#expectsParts(now);
+    const pause = expected ? RETRY_REQUEST_MS : pool.promise(now, rate);
+    return { id: want.id, granted, pause, expected };
+  }
+
+  /** Whether more parts are under way, so that an operation without a token should wait. */
+  #expectsParts(now: number): boolean {
+    const { liveShare, requestParts } = this.#surroundings;
+    if (this.#share >= liveShare() * COMPLETE_FRACTION) return false;
+    if (requestParts()) {
+      this.#settlingUntil = Math.max(this.#settlingUntil, now + SETTLING_MS);
+    }
+    return now < this.#settlingUntil;
+  }
+
+  /** Ends the delegations that have expired, each at its time. */
+  #expire(now: number): void {
+    while (this.#nextExpiry <= now) {
+      let first: string | undefined;
+      let expiry = Infinity;
+      for (const [host, { expiresAt }] of this.#members) {
+        if (expiresAt >= expiry) continue;
+        first = host;
+        expiry = expiresAt;
+      }
+      this.#nextExpiry = expiry;
+      if (expiry <= now) this.#setMember(first!, undefined, expiry);
+    }
+  }
+
+  #setMember(host: string, member: Member | undefined, now: number): void {
+    this.#settleAll(now);
+    if (member) this.#members.set(host, member);
+    else this.#members.delete(host);
+    this.#share = 0;
+    for (const { share } of this.#members.values()) this.#share += share;
+    if (member) {
+      this.#nextExpiry = Math.min(this.#nextExpiry, member.expiresAt);
+    }
+    // Tokens that the parts left can't hold must not come back with a later delegation.
+    this.#settleAll(now);
+  }
+
+  #settleAll(now: number): void {
+    for (const pool of this.#pools.values()) this.#settle(pool, now);
+  }
+
+  #settle(pool: TokenPool, now: number): void {
+    const { account } = pool;
+    const rate = (account.quota?.rate ?? 0) * this.#share;
+    pool.settle(now, rate, this.#capacity(account));
+  }
+
+  #capacity(account: LimitedAccount): number {
+    const capacity = partCapacity(account, this.#share, false);
+    if (capacity >= 1 || this.#share === 0) return capacity;
+    const reserved = this.#surroundings.reserved(account.name);
+    for (const host of this.#members.keys()) {
+      if (reserved.has(host)) return partCapacity(account, this.#share, true);
+    }
+    return capacity;
+  }
+
+  #isReserved(account: LimitedAccount, share: number, host: string): boolean {
+    return partCapacity(account, share, false) < 1 &&
+      this.#surroundings.reserved(account.name).has(host);
+  }
+
+  #workingShare(now: number): number {
+    let sum = 0;
+    for (const [host, { share }] of this.#members) {
+      const workedAt = this.#workedAt.get(host) ?? -Infinity;
+      if (workedAt > now - WORK_MS) sum += share;
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/src/plugins/quotas/token_pool.ts
@@ -0,0 +1,128 @@
+/**
+ * The tokens of one account at a coordinator.
+ *
+ * @module
+ */
+import type { LimitedAccount } from "./limited_accounts.ts";
+import { TOKEN_LIFE_MS } from "./timing.ts";
+import { RateMeter, timeToAccrue, TokenBucket } from "./token_bucket.ts";
+
+/** Part of the tokens that one host may take for operations that are yet to come, so that the others find some too. */
+const STOCK_FRACTION = 0.25;
+
+/** Time over which the use of an account is averaged, in ms; a recurring shortage shows in it. */
+const USE_WINDOW_MS = 2_000;
+
+/** Bounds of the time after which a host may ask again for an account without tokens, in ms. */
+const MIN_PAUSE_MS = 20;
+const MAX_PAUSE_MS = 2_000;
+
+/** Tokens that a host was given and may not have used yet. */
+interface Loan {
+  readonly amount: number;
+  readonly expiresAt: number;
+}
+
+/** What a host asks for. */
+export interface Need {
+  /** Operations that wait. */
+  readonly waiting: number;
+  /** Tokens for operations that are expected before the next request. */
+  readonly stock: number;
+}
+
+/**
+ * Tokens of an account that the delegated parts give. Tokens here and tokens lent
+ * to hosts never exceed the capacity together, so that a pause of the demand
+ * doesn't let more tokens exist than the quota allows.
+ */
+export class TokenPool {
+  account: LimitedAccount;
+  readonly #bucket: TokenBucket;
+  /** By borrower, in the order of expiry. */
+  readonly #loans = new Map<string, Loan>();
+  readonly #use = new RateMeter(USE_WINDOW_MS);
+  #lent = 0;
+  /** Time until which the tokens to come are promised to hosts that found none. */
+  #promisedUntil = 0;
+
+  constructor(account: LimitedAccount, now: number) {
+    this.account = account;
+    this.#bucket = new TokenBucket(0, now);
+  }
+
+  /** Tokens that can be lent. */
+  get level(): number {
+    return this.#bucket.level;
+  }
+
+  /** Tokens lent per second, over the last seconds. */
+  use(now: number): number {
+    return this.#use.rate(now);
+  }
+
+  /** Adds what the rate has given since the last call, and ends loans that have expired meanwhile. */
+  settle(now: number, rate: number, capacity: number): void {
+    for (const [borrower, { amount, expiresAt }] of this.#loans) {
+      if (expiresAt > now) break;
+      // Until then the loan left less room for new tokens.
+      this.#fill(expiresAt, rate, capacity);
+      this.#loans.delete(borrower);
+      this.#lent -= amount;
+    }
+    if (this.#loans.size === 0) this.#lent = 0;
+    this.#fill(now, rate, capacity);
+  }
+
+  /** Adds tokens that a part has collected at its host. */
+  credit(amount: number, capacity: number): void {
+    const room = Math.max(0, capacity - this.#lent - this.#bucket.level);
+    this.#bucket.add(Math.min(amount, room));
+  }
+
+  /** Records how many of its tokens a host has left; it has used the others. */
+  report(borrower: string, unused: number, now: number): void {
+    const loan = this.#loans.get(borrower);
+    if (!loan) return;
+    const amount = Math.min(loan.amount, unused);
+    this.#replaceLoan(borrower, amount, now);
+  }
+
+  /** Lends tokens, first for operations that wait; returns their number. */
+  lend(borrower: string, { waiting, stock }: Need, now: number): number {
+    const level = Math.floor(this.#bucket.level);
+    const urgent = Math.min(waiting, level);
+    const spare = this.#promisedUntil > now ? 0 : Math.floor(
+      (this.#bucket.level - urgent) * STOCK_FRACTION,
+    );
+    const granted = urgent + Math.min(stock, spare);
+    if (granted === 0) return 0;
+    this.#bucket.remove(granted);
+    const held = this.#loans.get(borrower)?.amount ?? 0;
+    this.#replaceLoan(borrower, held + granted, now);
+    this.#use.add(granted, now);
+    return granted;
+  }
+
+  /** Time in ms after which a host that found no token may ask again: when those that asked before it have been served. */
+  promise(now: number, rate: number): number {
+    const next = timeToAccrue(1 - this.#bucket.level, rate);
+    const from = Math.max(now + next, this.#promisedUntil);
+    this.#promisedUntil = Math.min(
+      from + timeToAccrue(1, rate),
+      now + MAX_PAUSE_MS,
+    );
+    return Math.min(Math.max(from - now, MIN_PAUSE_MS), MAX_PAUSE_MS);
+  }
+
+  #fill(now: number, rate: number, capacity: number): void {
+    this.#bucket.refill(now, rate, Math.max(0, capacity - this.#lent));
+  }
+
+  #replaceLoan(borrower: string, amount: number, now: number): void {
+    this.#lent += amount - (this.#loans.get(borrower)?.amount ?? 0);
+    this.#loans.delete(borrower);
+    if (amount === 0) return;
+    this.#loans.set(borrower, { amount, expiresAt: now + TOKEN_LIFE_MS });
+  }
+}
