Merge quotas, and admit each operation of a session by them

Change: a single statement and a BEGIN ask the quotas first; statements of a transaction don't, since a transaction counts as one operation.

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -101,6 +101,9 @@
   HOLDER_CHANGED: event(620, "holder-changed", "info"),
   HOLDER_STOPPING: event(621, "holder-stopping", "info"),
   HOLDER_LEAVES: event(622, "holder-leaves", "info"),
+  QUOTA_COORDINATOR_CHANGED: event(641, "quota-coordinator", "info"),
+  QUOTA_EXHAUSTED: event(642, "quota-exhausted", "info"),
+  QUOTA_DELEGATION_LAPSED: event(643, "quota-delegation-lapsed", "warn"),
 } as const satisfies Record<string, EventKind>;
 
 /** Fields of a log line in addition to the event's number and name. */
--- a/src/plugins/serving.ts
+++ b/src/plugins/serving.ts
@@ -9,4 +9,5 @@
 import "./forwarding/plugin.ts";
 import "./leadership/plugin.ts";
 import "./placement/plugin.ts";
+import "./quotas/plugin.ts";
 import "./sessions/plugin.ts";
--- a/src/plugins/sessions/caller_session.ts
+++ b/src/plugins/sessions/caller_session.ts
@@ -192,7 +192,7 @@
       case "deallocate":
         return await this.#deallocate(request, statement.name);
       case "begin":
-        return this.#begin(request, statement.readOnly);
+        return await this.#begin(request, statement.readOnly);
       default:
         return await this.#runStatement(request, statement);
     }
@@ -251,10 +251,15 @@
     return false;
   }
 
-  #begin(request: CallerRequest, readOnly: boolean): void {
+  async #begin(request: CallerRequest, readOnly: boolean): Promise<void> {
     if (this.#transaction) return this.#refuseInvalid(request, "already open");
     const task = this.#tasks.create(request, undefined);
     if (task.isErr()) return this.#refuse(request, task.error);
+    const refusal = await this.#context.quotas.admit(
+      task.value.account,
+      task.value.usefulUntil,
+    );
+    if (refusal) return this.#refuse(request, refusal);
     this.#route = task.value.route;
     // Not awaited: the transaction opens while the caller prepares its first statement.
     this.#transaction = Transaction.open(task.value, readOnly);
@@ -280,6 +285,9 @@
     if (this.#transaction) {
       return await this.#runInTransaction(task, operation, effect);
     }
+    const { account, usefulUntil } = task;
+    const refusal = await this.#context.quotas.admit(account, usefulUntil);
+    if (refusal) return this.#refuse(request, refusal);
     const outcome = effect === "read"
       ? await runRead(task, operation)
       : await runWrite(task, operation);
--- a/src/plugins/sessions/link_run.ts
+++ b/src/plugins/sessions/link_run.ts
@@ -22,7 +22,8 @@
   instance: string,
 ): LinkRequest {
   const { priority, rank } = route;
-  return { instance, account, priority, rank, deadline, usefulUntil };
+  const { name } = account ?? {};
+  return { instance, account: name, priority, rank, deadline, usefulUntil };
 }
 
 /** Acquires a link to an instance. */
--- a/src/plugins/sessions/plugin.ts
+++ b/src/plugins/sessions/plugin.ts
@@ -30,6 +30,7 @@
     "pools",
     "succession",
     "placement",
+    "quotas",
     "requestCounters",
   ],
   create: ({ log, use }) => {
@@ -40,6 +41,7 @@
       pools: use("pools"),
       succession: use("succession"),
       placement: use("placement"),
+      quotas: use("quotas"),
       samples: (group) => {
         const groupSamples = samples.get(group) ?? new PrimarySamples();
         samples.set(group, groupSamples);
--- a/src/plugins/sessions/session_context.ts
+++ b/src/plugins/sessions/session_context.ts
@@ -6,12 +6,14 @@
  */
 import { clock } from "../../kernel/clock.ts";
 import type { EventLog } from "../../kernel/events.ts";
+import type { Account } from "../accounts/accounts.ts";
 import type { LinkPools } from "../connections/link_pools.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
 import type { ActiveRoutes, Route } from "../deployment/routes.ts";
 import type { PrimarySamples } from "../freshness/primary_samples.ts";
 import type { Succession } from "../leadership/succession.ts";
 import type { ReadPlacement } from "../placement/read_placement.ts";
+import type { Quotas } from "../quotas/quotas.ts";
 import { sleep } from "../../utils/sleep.ts";
 import type {
   Answer,
@@ -28,6 +30,7 @@
   readonly pools: LinkPools;
   readonly succession: Succession;
   readonly placement: ReadPlacement;
+  readonly quotas: Pick<Quotas, "admit">;
   /** Position samples of a group's primary. */
   samples(group: string): PrimarySamples;
   readonly log: EventLog;
@@ -162,8 +165,8 @@
   readonly context: SessionContext;
   readonly session: SessionState;
   readonly route: Route;
-  /** Name of the account that the statement counts for, if any. */
-  readonly account?: string;
+  /** Account that the statement counts for, if any. */
+  readonly account?: Account;
   readonly id: string;
   readonly receivedAt: number;
   /** Monotonic time in ms by which the statement must be answered. */
--- a/src/plugins/sessions/session_tasks.ts
+++ b/src/plugins/sessions/session_tasks.ts
@@ -56,7 +56,7 @@
       context: this.#context,
       session: this.#session,
       route,
-      account: account?.name,
+      account,
       id,
       receivedAt,
       deadline: receivedAt + route.statementTimeout,
