Bound what a hostile document costs, and suggest the nearest name

Cause: a document of 100,000 brackets ended the process (the YAML library recurses, and V8 aborts when a regular expression is compiled on a full stack); 100,000 keys in one mapping took 2.5 s and grow with the square; 100,000 errors were formatted with the whole text each. A proxy parses documents too. A plain password in place of a hash was shown in the message and in event 202.

Change: yaml_text.ts counts tokens, aliases and nesting while it reads, finds duplicate keys with a set, and limits the values after aliases are resolved. A name that refers to nothing gets the nearest known name; names are listed when an issue is described, not when it is found. The value of a password is not shown; control characters in messages are escaped.

--- a/src/commands/table.ts
+++ b/src/commands/table.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { escapeControls } from "../utils/printable.ts";
 
 const COLUMN_GAP = "  ";
 
@@ -23,11 +24,3 @@
     )
     .join("\n");
 }
-
-/** Keeps a cell on its line and from commanding the terminal; others may have chosen its text. */
-function escapeControls(cell: string): string {
-  return cell.replace(
-    /\p{Cc}/gu,
-    (control) => `\\u${control.charCodeAt(0).toString(16).padStart(4, "0")}`,
-  );
-}
--- a/src/plugins/document/document.ts
+++ b/src/plugins/document/document.ts
@@ -87,11 +87,11 @@
   const names = value.instances.map((instance) => instance.name);
   reportDuplicates(names, ["instances"], context);
   if (value.preferredPrimary && !names.includes(value.preferredPrimary)) {
-    context.addIssue({
-      code: "custom",
-      path: ["preferredPrimary"],
-      message: `expected one of ${names.join(", ")}`,
-    });
+    reportUnknownName(
+      ["preferredPrimary"],
+      { what: "", known: names },
+      context,
+    );
   }
 });
 
@@ -113,15 +113,16 @@
     context,
   );
   const zones = new Set(value.zones);
+  const unknownZone = { what: "the zones ", known: value.zones };
   value.proxies.forEach((proxy, index) => {
     if (zones.has(proxy.zone)) return;
-    reportUnknownZone(["proxies", index, "zone"], value.zones, context);
+    reportUnknownName(["proxies", index, "zone"], unknownZone, context);
   });
   value.groups.forEach((group, groupIndex) => {
     group.instances.forEach((instance, instanceIndex) => {
       if (zones.has(instance.zone)) return;
       const path = ["groups", groupIndex, "instances", instanceIndex, "zone"];
-      reportUnknownZone(path, value.zones, context);
+      reportUnknownName(path, unknownZone, context);
     });
   });
 });
@@ -154,14 +155,12 @@
         environment.groups.map((group) => group.database)
       ),
   );
+  const unknownDatabase = { what: "the databases ", known: [...databases] };
   value.accounts.forEach((account, accountIndex) => {
     account.databases.forEach((database, databaseIndex) => {
       if (databases.has(database)) return;
-      context.addIssue({
-        code: "custom",
-        path: ["accounts", accountIndex, "databases", databaseIndex],
-        message: `expected one of the databases ${[...databases].join(", ")}`,
-      });
+      const path = ["accounts", accountIndex, "databases", databaseIndex];
+      reportUnknownName(path, unknownDatabase, context);
     });
   });
 });
@@ -194,29 +193,48 @@
   : T extends object ? { readonly [K in keyof T]: DeepReadonly<T[K]> }
   : T;
 
+/** What an issue tells about a name that refers to nothing. */
+export interface UnknownName {
+  /** What the known names are, such as `the zones `. */
+  readonly what: string;
+  readonly known: readonly string[];
+}
+
+/** What an issue tells about a name that is listed before. */
+export interface DuplicateName {
+  readonly duplicate: string;
+}
+
 function reportDuplicates(
   names: readonly string[],
   path: (string | number)[],
   context: z.RefinementCtx,
 ): void {
+  const seen = new Set<string>();
   names.forEach((name, index) => {
-    if (names.indexOf(name) === index) return;
-    context.addIssue({
-      code: "custom",
-      path: [...path, index],
-      message: `expected a unique name, found ${name} again`,
-    });
+    if (seen.has(name)) {
+      const params: DuplicateName = { duplicate: name };
+      context.addIssue({
+        code: "custom",
+        path: [...path, index],
+        message: "expected a unique name",
+        params: { ...params },
+      });
+    }
+    seen.add(name);
   });
 }
 
-function reportUnknownZone(
+/** The names are listed when the issue is described, since thousands of issues may have thousands of them. */
+function reportUnknownName(
   path: (string | number)[],
-  zones: readonly string[],
+  { what, known }: UnknownName,
   context: z.RefinementCtx,
 ): void {
   context.addIssue({
     code: "custom",
     path,
-    message: `expected one of the zones ${zones.join(", ")}`,
+    message: "expected a known name",
+    params: { what, known },
   });
 }
--- a/src/plugins/document/nearest_name.ts
+++ b/src/plugins/document/nearest_name.ts
@@ -6,6 +6,9 @@
 
 const MAX_EDIT_DISTANCE = 3;
 
+/** Known names that are compared; a document may have thousands of names and of mistakes. */
+const MAX_CANDIDATES = 1_000;
+
 /** Returns the known name with the smallest edit distance; undefined when none is close enough. */
 export function nearestName(
   name: string,
@@ -13,6 +16,10 @@
 ): string | undefined {
   const maxDistance = Math.min(MAX_EDIT_DISTANCE, Math.ceil(name.length / 2));
   const ranked = known
+    .slice(0, MAX_CANDIDATES)
+    .filter((candidate) =>
+      Math.abs(candidate.length - name.length) <= maxDistance
+    )
     .map((candidate) => ({
       candidate,
       distance: editDistance(name, candidate),
--- a/src/plugins/document/parse_document.ts
+++ b/src/plugins/document/parse_document.ts
@@ -5,152 +5,192 @@
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
-import {
-  type Document as YamlDocument,
-  isNode,
-  LineCounter,
-  parseDocument as parseYaml,
-} from "yaml";
 import type { z } from "zod";
 import {
   createFailure,
   type Failure,
   ResultCodes,
 } from "../../kernel/result_codes.ts";
-import { type Document, documentSchema } from "./document.ts";
+import {
+  type Document,
+  documentSchema,
+  type DuplicateName,
+  type UnknownName,
+} from "./document.ts";
 import { nearestName } from "./nearest_name.ts";
+import {
+  formatPath,
+  formatProblem,
+  type Problem,
+  type Rejection,
+} from "./problem.ts";
 import { knownKeys } from "./schema_keys.ts";
+import { MAX_PROBLEMS, readYaml } from "./yaml_text.ts";
 
-/** Maximum length of a document, in characters. */
-export const MAX_DOCUMENT_CHARACTERS = 1_000_000;
+export { formatPath, formatProblem, type Problem } from "./problem.ts";
+export { MAX_DOCUMENT_CHARACTERS } from "./yaml_text.ts";
 
 const MAX_SHOWN_PROBLEMS = 20;
 const MAX_FOUND_CHARACTERS = 60;
 
-/** A validation error in a document. */
-export interface Problem {
-  /** Path such as `environments.trial.groups[0].reads`; empty for the whole document. */
-  readonly path: string;
-  readonly expected: string;
-  readonly found: string;
-  /** Line number, starting at 1; 0 when unknown. */
-  readonly line: number;
-  readonly hint?: string;
+/** Names that a message lists; a document may have thousands. */
+const MAX_LISTED_NAMES = 20;
+
+/** Key whose value is not shown: it may be a password instead of a hash. */
+const SECRET_KEY = "password";
+
+/** A document with the lines of its parts. */
+export interface LocatedDocument {
+  readonly document: Document;
+  /** Line of the deepest part of the path that exists in the text; 0 when none does. */
+  lineOf(path: readonly PropertyKey[]): number;
 }
 
 /** Parses and validates a document. Fails with DOCUMENT_INVALID, whose message lists the problems. */
 export function parseDocument(text: string): Result<Document, Failure> {
-  const validated = validateDocument(text);
-  if (validated.isOk()) return ok(validated.value);
-  const shown = validated.error.slice(0, MAX_SHOWN_PROBLEMS).map(formatProblem);
-  const omitted = validated.error.length - shown.length;
-  if (omitted > 0) shown.push(`and ${omitted} more`);
-  const hint = validated.error.find((problem) => problem.hint)?.hint;
-  return err(createFailure(
-    ResultCodes.DOCUMENT_INVALID,
-    shown.join("\n"),
-    hint === undefined ? {} : { hint },
-  ));
+  return locateDocument(text)
+    .map(({ document }) => document)
+    .mapErr(({ problems, omitted }) => {
+      const shown = problems.slice(0, MAX_SHOWN_PROBLEMS).map(formatProblem);
+      const others = problems.length + omitted - shown.length;
+      if (others > 0) shown.push(`and ${others} more`);
+      const hint = problems.find((problem) => problem.hint)?.hint;
+      return createFailure(
+        ResultCodes.DOCUMENT_INVALID,
+        shown.join("\n"),
+        hint === undefined ? {} : { hint },
+      );
+    });
 }
 
 /** Parses and validates a document; fails with the list of problems. */
-export function validateDocument(text: string): Result<Document, Problem[]> {
-  if (text.length > MAX_DOCUMENT_CHARACTERS) {
-    return err([{
-      path: "",
-      expected: `at most ${MAX_DOCUMENT_CHARACTERS} characters`,
-      found: String(text.length),
-      line: 0,
-    }]);
-  }
-  const lines = new LineCounter();
-  const yaml = parseYaml(text, { lineCounter: lines });
-  if (yaml.errors.length > 0) {
-    return err(yaml.errors.map((error) => ({
-      path: "",
-      expected: "YAML",
-      found: error.message.split("\n")[0] ?? error.code,
-      line: lines.linePos(error.pos[0]).line,
-    })));
-  }
-  const value = toPlainValue(yaml);
-  if (value.isErr()) return err([value.error]);
-  const parsed = documentSchema.safeParse(value.value);
-  if (parsed.success) return ok(parsed.data);
-  const locate = (path: readonly PropertyKey[]) => lineOf(yaml, lines, path);
-  return err(
-    parsed.error.issues.flatMap((issue) =>
-      describeIssue(issue, value.value, locate)
-    ),
-  );
-}
-
-/** Formats a problem as one line of text. */
-export function formatProblem(problem: Problem): string {
-  const location = problem.line > 0 ? `line ${problem.line}: ` : "";
-  const path = problem.path === "" ? "document" : problem.path;
-  const hint = problem.hint ? `; ${problem.hint}` : "";
-  return `${location}${path}: expected ${problem.expected}, found ${problem.found}${hint}`;
+export function validateDocument(
+  text: string,
+): Result<Document, readonly Problem[]> {
+  return locateDocument(text)
+    .map(({ document }) => document)
+    .mapErr(({ problems }) => problems);
 }
 
-/** Formats a path such as `groups[0].reads`. */
-export function formatPath(path: readonly PropertyKey[]): string {
-  return path.reduce<string>((text, key) => {
-    if (typeof key === "number") return `${text}[${key}]`;
-    return text === "" ? String(key) : `${text}.${String(key)}`;
-  }, "");
+/** Parses and validates a document, and finds the lines of its parts. */
+export function locateDocument(
+  text: string,
+): Result<LocatedDocument, Rejection> {
+  return readYaml(text).andThen(({ value, lineOf }) => {
+    const parsed = documentSchema.safeParse(value);
+    if (parsed.success) return ok({ document: parsed.data, lineOf });
+    return err(describeIssues(parsed.error.issues, value, lineOf));
+  });
 }
 
-/** Converts to plain values with aliases resolved; the library rejects excessive alias expansion. */
-function toPlainValue(yaml: YamlDocument): Result<unknown, Problem> {
-  try {
-    return ok(yaml.toJS());
-  } catch (error) {
-    const found = error instanceof Error ? error.message : String(error);
-    return err({ path: "", expected: "YAML", found, line: 0 });
+function describeIssues(
+  issues: readonly z.core.$ZodIssue[],
+  value: unknown,
+  lineOf: LocatedDocument["lineOf"],
+): Rejection {
+  const problems: Problem[] = [];
+  let omitted = 0;
+  for (const issue of issues) {
+    const room = MAX_PROBLEMS - problems.length;
+    const keys = issue.code === "unrecognized_keys" ? issue.keys : [];
+    const count = Math.max(1, keys.length);
+    omitted += Math.max(0, count - room);
+    if (room === 0) continue;
+    if (keys.length === 0) {
+      problems.push(describeIssue(issue, value, lineOf(issue.path)));
+    }
+    for (const key of keys.slice(0, room)) {
+      const path = [...issue.path, key];
+      problems.push(describeUnknownKey(path, lineOf(path)));
+    }
   }
+  return { problems, omitted };
 }
 
 function describeIssue(
   issue: z.core.$ZodIssue,
   value: unknown,
-  locate: (path: readonly PropertyKey[]) => number,
-): Problem[] {
-  if (issue.code === "unrecognized_keys") {
-    return issue.keys.map((key) => {
-      const path = [...issue.path, key];
-      return describeUnknownKey(path, locate(path));
-    });
+  line: number,
+): Problem {
+  const path = formatPath(issue.path);
+  const found = valueAt(value, issue.path);
+  const shown = issue.path.at(-1) === SECRET_KEY && found !== undefined
+    ? "a value that is not shown"
+    : describeValue(found);
+  const reference = issue.code === "custom"
+    ? issue.params as UnknownName | DuplicateName | undefined
+    : undefined;
+  if (reference && "known" in reference) {
+    return describeUnknownName(reference, found, { path, found: shown, line });
   }
-  return [{
-    path: formatPath(issue.path),
+  const isMissing = found === undefined && issue.code === "invalid_type";
+  const hint = issue.code === "invalid_value"
+    ? suggest(found, issue.values.map(String))
+    : undefined;
+  return {
+    kind: reference
+      ? "duplicate name"
+      : isMissing
+      ? "missing value"
+      : "invalid value",
+    path,
     expected: describeExpectation(issue),
-    found: describeValue(valueAt(value, issue.path)),
-    line: locate(issue.path),
-  }];
+    found: reference ? `${reference.duplicate} again` : shown,
+    line,
+    hint,
+  };
+}
+
+function describeUnknownName(
+  { what, known }: UnknownName,
+  found: unknown,
+  place: Pick<Problem, "path" | "found" | "line">,
+): Problem {
+  const listed = known.slice(0, MAX_LISTED_NAMES).join(", ");
+  const others = known.length - MAX_LISTED_NAMES;
+  return {
+    ...place,
+    kind: "unknown name",
+    expected: `one of ${what}${listed}${
+      others > 0 ? ` and ${others} more` : ""
+    }`,
+    hint: suggest(found, known),
+  };
 }
 
 function describeUnknownKey(
   path: readonly PropertyKey[],
   line: number,
 ): Problem {
+  const key = String(path.at(-1));
   const known = knownKeys(documentSchema, path.slice(0, -1));
-  const suggestion = nearestName(String(path.at(-1)), known);
   return {
+    kind: "unknown key",
     path: formatPath(path),
     expected: `one of the keys ${known.join(", ")}`,
-    found: `the unknown key ${String(path.at(-1))}`,
+    found: `the unknown key ${key}`,
     line,
-    hint: suggestion && `did you mean ${suggestion}?`,
+    hint: suggest(key, known),
   };
 }
 
+function suggest(
+  found: unknown,
+  known: readonly string[],
+): string | undefined {
+  if (typeof found !== "string") return undefined;
+  const name = nearestName(found, known);
+  return name && `did you mean ${name}?`;
+}
+
 function describeExpectation(issue: z.core.$ZodIssue): string {
   if (issue.code === "invalid_union") return "an IP number";
-  return issue.message
+  const message = issue.code === "invalid_key"
+    ? issue.issues[0]?.message ?? issue.message
+    : issue.message;
+  return message
     .replace(/^(Invalid input|Invalid option|Invalid string): /, "")
     .replace(/, received .*$/, "")
-    .replace(/, found .* again$/, "")
     .replace(/^Too (small|big): /, "")
     .replace(/^expected /, "");
 }
@@ -159,6 +199,7 @@
   let current = value;
   for (const key of path) {
     if (typeof current !== "object" || current === null) return undefined;
+    if (!Object.hasOwn(current, key)) return undefined;
     current = (current as Record<PropertyKey, unknown>)[key];
   }
   return current;
@@ -166,20 +207,13 @@
 
 function describeValue(value: unknown): string {
   if (value === undefined) return "nothing";
-  const text = JSON.stringify(value) ?? String(value);
+  const text = typeof value === "number"
+    ? String(value)
+    : JSON.stringify(value, hideSecret) ?? String(value);
   if (text.length <= MAX_FOUND_CHARACTERS) return text;
   return text.slice(0, MAX_FOUND_CHARACTERS) + "…";
 }
 
-/** Line of the deepest part of the path that exists in the text; 0 when none does. */
-function lineOf(
-  yaml: YamlDocument,
-  lines: LineCounter,
-  path: readonly PropertyKey[],
-): number {
-  for (let length = path.length; length > 0; length -= 1) {
-    const node = yaml.getIn(path.slice(0, length), true);
-    if (isNode(node) && node.range) return lines.linePos(node.range[0]).line;
-  }
-  return 0;
+function hideSecret(key: string, value: unknown): unknown {
+  return key === SECRET_KEY ? "(hidden)" : value;
 }
--- a/src/plugins/document/schema_keys.ts
+++ b/src/plugins/document/schema_keys.ts
@@ -37,6 +37,7 @@
   key: PropertyKey,
 ): z.ZodType | undefined {
   const parent = unwrapDefinition(schema);
-  if (parent.shape) return parent.shape[String(key)];
+  const { shape } = parent;
+  if (shape) return Object.hasOwn(shape, key) ? shape[String(key)] : undefined;
   return parent.element ?? parent.valueType;
 }
--- a/test/document_test.ts
+++ b/test/document_test.ts
@@ -90,6 +90,58 @@
       }));
     });
 
+    it("suggests the nearest name for one that refers to nothing", () => {
+      const text = sampleDocument()
+        .replace("databases: [booking]", "databases: [bokking]")
+        .replace("name: proxy-2, zone: split-a", "name: p, zone: split-b");
+      expect(findProblems(text).map(({ path, hint }) => [path, hint]))
+        .toEqual([
+          ["environments.trial.proxies[1].zone", "did you mean split-a?"],
+          ["accounts[0].databases[0]", "did you mean booking?"],
+        ]);
+    });
+
+    // Guards against a password that was written in place of its hash and ends up in a log.
+    it("never shows what stands in place of a password's hash", () => {
+      const value = sampleValue();
+      const account = { ...value.accounts[0], password: "hunter2" };
+      for (const accounts of [[account], { a: account }]) {
+        const text = stringify({ ...value, accounts });
+        const message = parseDocument(text)._unsafeUnwrapErr().message;
+        expect(message.includes("hunter2")).toEqual(false);
+      }
+    });
+
+    // Guards against a process that ends or stands still: the YAML library
+    // recurses into each level and compares each key with all others.
+    it("rejects a text that repeats anything a million times", () => {
+      const parts = [
+        "[",
+        "- ",
+        "a: ",
+        "? ",
+        "*a ",
+        "! ",
+        "]",
+        "- &a x\n- *a\n",
+      ];
+      for (const part of parts) {
+        const text = part.repeat(1_000_000 / part.length);
+        const startedAt = performance.now();
+        expect(validateDocument(text).isErr()).toEqual(true);
+        expect(performance.now() - startedAt < 30_000).toEqual(true);
+      }
+    });
+
+    it("rejects an alias inside its own anchor and keys that no object can hold", () => {
+      const [endless] = findProblems("accounts: &a [*a]");
+      expect(endless?.found).toEqual("an alias inside its own anchor");
+      const [key] = findProblems(
+        sampleDocument().replace("  trial:", "  __proto__:"),
+      );
+      expect(key?.path).toEqual("environments.__proto__");
+    });
+
     it("reports the path of a value of the wrong type at any position", () => {
       const paths = leafPaths(sampleValue());
       fc.assert(fc.property(fc.constantFrom(...paths), (path) => {
