Let an account of the document carry a quota

Cause: the limits of client accounts can be stated on the users' platform only; the check of a document needs them on the product's own face too.

Change: accounts[].quota with rate and burst, checked by the schema, with the default of the platform for a missing burst.

--- a/src/plugins/document/document.ts
+++ b/src/plugins/document/document.ts
@@ -127,6 +127,23 @@
   });
 });
 
+/** Most operations that a quota can state, far above what a group can serve; a larger figure is a mistake. */
+const MAX_QUOTA_OPERATIONS = 1_000_000;
+
+const RATE_MESSAGE =
+  `expected operations a second, above 0 and at most ${MAX_QUOTA_OPERATIONS}`;
+const BURST_MESSAGE =
+  `expected a whole number of operations from 1 to ${MAX_QUOTA_OPERATIONS}`;
+
+const quotaSchema = z.strictObject({
+  /** Operations a second, over all proxies together. */
+  rate: z.number(RATE_MESSAGE).positive(RATE_MESSAGE)
+    .max(MAX_QUOTA_OPERATIONS, RATE_MESSAGE),
+  /** Operations that may run at once after a pause, over all proxies together; default is one second of the rate. */
+  burst: z.number(BURST_MESSAGE).int(BURST_MESSAGE).min(1, BURST_MESSAGE)
+    .max(MAX_QUOTA_OPERATIONS, BURST_MESSAGE).optional(),
+}).transform(({ rate, burst }) => ({ rate, burst: burst ?? Math.ceil(rate) }));
+
 const accountSchema = z.strictObject({
   name: nameSchema,
   /** `scrypt$N$r$p$salt$hash`, salt and hash in base64. */
@@ -136,6 +153,8 @@
   ),
   /** Databases that the account may open. */
   databases: z.array(nameSchema).min(1),
+  /** Limit of the operations of the account's callers; unlimited if it is left out. */
+  quota: quotaSchema.optional(),
 });
 
 /** Schema of the configuration document. */
--- a/test/document_test.ts
+++ b/test/document_test.ts
@@ -101,6 +101,41 @@
         ]);
     });
 
+    /** A document whose account has the given quota. */
+    const withQuota = (quota: unknown) => {
+      const value = sampleValue();
+      const accounts = [{ ...value.accounts[0], quota }];
+      return stringify({ ...value, accounts });
+    };
+
+    it("takes the burst of a quota from its rate if it is left out", () => {
+      const quotas = [undefined, { rate: 0.5 }, { rate: 20, burst: 5 }];
+      const parsed = quotas.map((quota) =>
+        parseDocument(withQuota(quota))._unsafeUnwrap().accounts[0]?.quota
+      );
+      expect(parsed).toEqual([
+        undefined,
+        { rate: 0.5, burst: 1 },
+        { rate: 20, burst: 5 },
+      ]);
+    });
+
+    it("rejects a quota that is no amount, with the amounts that it may be", () => {
+      const wrong = [0, -1, "5", Infinity, NaN, 1e7, null, undefined];
+      for (const rate of wrong) {
+        const [problem] = findProblems(withQuota({ rate }));
+        expect(problem?.path).toEqual("accounts[0].quota.rate");
+        expect(problem?.expected)
+          .toEqual("operations a second, above 0 and at most 1000000");
+      }
+      for (const burst of [0, 1.5, "5", 1e300, null]) {
+        const [problem] = findProblems(withQuota({ rate: 1, burst }));
+        expect(problem?.path).toEqual("accounts[0].quota.burst");
+        expect(problem?.expected)
+          .toEqual("a whole number of operations from 1 to 1000000");
+      }
+    });
+
     // Guards against a password that was written in place of its hash and ends up in a log.
     it("never shows what stands in place of a password's hash", () => {
       const value = sampleValue();
