--- a/src/plugins/accounts/accounts.ts
+++ b/src/plugins/accounts/accounts.ts
@@ -95,6 +95,17 @@
     return this.#accounts.get(name);
   }
 
+  /** Digests of the keys that admit callers, by account. */
+  digests(): ReadonlyMap<string, readonly string[]> {
+    const digests = new Map<string, string[]>();
+    for (const [digest, { name }] of this.#byDigest) {
+      const known = digests.get(name);
+      if (known) known.push(digest);
+      else digests.set(name, [digest]);
+    }
+    return digests;
+  }
+
   /** All accounts. */
   all(): readonly Account[] {
     return [...this.#accounts.values()];
--- a/src/plugins/deployment/routes.ts
+++ b/src/plugins/deployment/routes.ts
@@ -40,6 +40,17 @@
   readonly connectionsPerInstance: number;
 }
 
+/** An entry of the configuration that is not used. */
+export interface UnusedEntry {
+  readonly entry: "route" | "group";
+  readonly name: string;
+  readonly reason:
+    /** Its kind is not one that this version knows. */
+    | "unknown kind"
+    /** A later entry of the same name takes its place. */
+    | "listed again";
+}
+
 /** One version of the configuration. */
 export interface RouteTable {
   readonly version: number;
@@ -47,6 +58,8 @@
   readonly groups: ReadonlyMap<string, GroupSettings>;
   /** Undefined if the configuration knows no accounts, so that callers need no key. */
   readonly accounts?: AccountDirectory;
+  /** Entries that the parser left out. */
+  readonly unused?: readonly UnusedEntry[];
   /** Idle time after which a transaction may be terminated, in ms. */
   readonly transactionIdleTimeout: number;
   /** Timeout for a caller's first message, in ms. */
--- a/src/plugins/freshness/primary_samples.ts
+++ b/src/plugins/freshness/primary_samples.ts
@@ -22,7 +22,7 @@
 const SPACING_MS = 20;
 
 /** Retention time of samples, in ms; older ones serve no age limit that the routes use. */
-const MAX_AGE_MS = 30_000;
+export const MAX_SAMPLE_AGE_MS = 30_000;
 
 /** Time-ordered position samples of one group's primary. */
 export class PrimarySamples {
@@ -44,7 +44,9 @@
     const previous = this.#samples.at(-2);
     if (previous && sample.at - previous.at < SPACING_MS) this.#samples.pop();
     this.#samples.push(sample);
-    while (sample.at - this.#samples[0]!.at > MAX_AGE_MS) this.#samples.shift();
+    while (sample.at - this.#samples[0]!.at > MAX_SAMPLE_AGE_MS) {
+      this.#samples.shift();
+    }
   }
 
   /**
--- a/src/plugins/health/probe_rounds.ts
+++ b/src/plugins/health/probe_rounds.ts
@@ -11,7 +11,7 @@
 /** Delay after a round while requests wait. */
 const MIN_ROUND_INTERVAL_MS = 1;
 /** Delay after a round while no request waits. */
-const IDLE_INTERVAL_MS = 200;
+export const IDLE_INTERVAL_MS = 200;
 /** Delay after a round while the primary is unconfirmed. */
 const UNCONFIRMED_INTERVAL_MS = 25;
 
