--- a/src/commands/cli.ts
+++ b/src/commands/cli.ts
@@ -6,6 +6,7 @@
 import { readFileSync } from "node:fs";
 import { Builtins, Cli } from "clipanion";
 import { AccountHashCommand } from "./account_hash.ts";
+import { CheckCommand } from "./check_command.ts";
 import {
   DocumentPromoteCommand,
   DocumentPutCommand,
@@ -23,6 +24,7 @@
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   ProxyCommand,
+  CheckCommand,
   DocumentValidateCommand,
   DocumentPutCommand,
   DocumentDiffCommand,
--- a/src/commands/operator_command.ts
+++ b/src/commands/operator_command.ts
@@ -14,6 +14,9 @@
 
 /** A command whose result is a text or a failure. */
 export abstract class OperatorCommand extends Command {
+  /** Exit code after the result was printed. */
+  protected exitCode = 0;
+
   /** Runs the command and returns the text to print. */
   protected abstract run(): Promise<Result<string, Failure>>;
 
@@ -22,7 +25,7 @@
     if (!(isResult(result))) return this.#reportFailure(result);
     if (result.isErr()) return this.#reportFailure(result.error);
     this.context.stdout.write(withTrailingNewline(result.value));
-    return 0;
+    return this.exitCode;
   }
 
   #reportFailure(failure: Failure): number {
--- a/src/plugins/check/limit_rules.ts
+++ b/src/plugins/check/limit_rules.ts
@@ -24,9 +24,9 @@
       kind: FindingKinds.BURST_BELOW_RATE,
       place: limitPlace,
       text:
-        `the burst of ${limit.burst} keeps ${name} from using its rate: each of the ${hosts} proxies${
-          inEnvironment(subject)
-        } has a part of ${roundAmount(part)} operations a second`,
+        `the burst of ${limit.burst} keeps ${name} from using its rate of ${limit.rate}: the smallest part, that of one proxy, is ${
+          roundAmount(part)
+        } operations a second (proxies${inEnvironment(subject)}: ${hosts})`,
     }];
   });
 };
