Show the effects of a document when it is compared and accepted

Cause: document diff showed values, not what they do to callers, and put and promote accepted a document without a word about what it cuts off.

--- a/src/commands/document_changes.ts
+++ b/src/commands/document_changes.ts
@@ -13,8 +13,10 @@
   ResultCodes,
 } from "../kernel/result_codes.ts";
 import type { Head } from "../plugins/document/head.ts";
-import type { Operation } from "../plugins/document/revisions.ts";
+import type { Operation, Revisions } from "../plugins/document/revisions.ts";
+import { describeWarnings } from "./accepted_document.ts";
 import { readDocumentFile } from "./document_file.ts";
+import { showsColors } from "./findings_report.ts";
 import { PlatformCommand } from "./platform_command.ts";
 
 abstract class DocumentChangeCommand extends PlatformCommand {
@@ -42,7 +44,19 @@
     return invalid("--expect", "a non-negative integer", this.expect);
   }
 
-  protected formatHead(head: Head): string {
+  /** Prints the warnings about an accepted document on standard error and returns the text to print. */
+  protected async reportAccepted(
+    revisions: Revisions,
+    head: Head,
+  ): Promise<string> {
+    const { stderr } = this.context;
+    const colors = showsColors(stderr, process.env);
+    const warnings = await describeWarnings(revisions, head, colors);
+    if (warnings.length > 0) stderr.write(warnings.join("\n") + "\n");
+    return this.#formatHead(head);
+  }
+
+  #formatHead(head: Head): string {
     if (this.json) return JSON.stringify(head);
     return `${head.environment}: revision ${head.number} accepted (operation ${head.operation})`;
   }
@@ -59,7 +73,8 @@
       the next revision. Of several concurrent changes exactly one succeeds; the
       others fail, report the revision that succeeded and change nothing. If the
       outcome is unknown, retry the command with the operation id in the error
-      message.
+      message. Warnings about the accepted document, and about what it changes, go
+      to standard error; docs/findings.md explains them.
     `,
     examples: [
       ["Put a document to trial", "$0 document put swap-ledger.yaml"],
@@ -82,7 +97,7 @@
     if (text.isErr()) return err(text.error);
     return await this.withRevisions((revisions) =>
       revisions.put(this.environment, text.value, operation.value)
-        .map((head) => this.formatHead(head))
+        .map((head) => this.reportAccepted(revisions, head))
     );
   }
 }
@@ -119,7 +134,7 @@
     if (operation.isErr()) return err(operation.error);
     return await this.withRevisions((revisions) =>
       revisions.promote(this.from, this.to, operation.value)
-        .map((head) => this.formatHead(head))
+        .map((head) => this.reportAccepted(revisions, head))
     );
   }
 }
--- a/src/commands/document_queries.ts
+++ b/src/commands/document_queries.ts
@@ -10,14 +10,16 @@
   type Failure,
   ResultCodes,
 } from "../kernel/result_codes.ts";
+import { describeChanges } from "../plugins/check/check_document.ts";
 import {
   type Change,
-  diffDocuments,
+  createChange,
   formatChange,
 } from "../plugins/document/diff_documents.ts";
 import type { Document } from "../plugins/document/document.ts";
 import { parseDocument } from "../plugins/document/parse_document.ts";
 import type { Revisions } from "../plugins/document/revisions.ts";
+import { escapeControls } from "../utils/printable.ts";
 import { readDocumentFile } from "./document_file.ts";
 import { OperatorCommand } from "./operator_command.ts";
 import { PlatformCommand } from "./platform_command.ts";
@@ -66,8 +68,8 @@
     details: `
       With a file, compares the current document of \`--to\` with the file.
       Without a file, shows what a promotion from \`--from\` to \`--to\` would
-      change. Durations are in ms, defaults are filled in, and password hashes
-      are hidden.
+      change, with the effect on callers below each change. Durations are in ms,
+      defaults are filled in, and password hashes are hidden.
     `,
     examples: [
       ["What would a promotion change?", "$0 document diff"],
@@ -92,7 +94,7 @@
       if (after.isErr()) return err(after.error);
       const before = await readCurrentDocument(revisions, this.to);
       return before.map((found) =>
-        this.#formatChanges(diffDocuments(found, after.value))
+        this.#formatChanges(listChanges(found, after.value))
       );
     });
   }
@@ -107,10 +109,15 @@
     return text.andThen(parseDocument);
   }
 
-  #formatChanges(changes: readonly Change[]): string {
+  #formatChanges(changes: readonly DescribedChange[]): string {
     if (this.json) return JSON.stringify(changes);
     if (changes.length === 0) return "no difference";
-    return changes.map(formatChange).join("\n");
+    return changes.flatMap((change, index) => {
+      const { effect } = change;
+      const isNew = effect && effect !== changes[index - 1]?.effect;
+      const line = formatChange(change);
+      return isNew ? [line, `    ${escapeControls(effect)}`] : [line];
+    }).join("\n");
   }
 }
 
@@ -185,6 +192,23 @@
   }
 }
 
+/** A change with its effect on callers. */
+interface DescribedChange extends Change {
+  readonly effect?: string;
+}
+
+function listChanges(
+  before: Document | undefined,
+  after: Document,
+): readonly DescribedChange[] {
+  return describeChanges(before, after).flatMap(({ differences, effects }) =>
+    differences.map((difference) => ({
+      ...createChange(difference),
+      effect: effects.map(({ text }) => text).join("; ") || undefined,
+    }))
+  );
+}
+
 /** Reads the current document of an environment; undefined before the first revision. */
 function readCurrentDocument(
   revisions: Revisions,
--- a/test/cli_test.ts
+++ b/test/cli_test.ts
@@ -114,4 +114,35 @@
       );
     });
   });
+
+  describe("a document with warnings", () => {
+    // Guards against callers that are cut off without a word to the operator.
+    it("is accepted, and diff shows its effects in advance", async () => {
+      const text = TEXT.replace("- name: app", "- name: other")
+        .replaceAll("connectionsPerInstance: 20", "connectionsPerInstance: 3");
+      const diff = await runCli(
+        ["document", "diff", "-", "--to", "trial"],
+        settings,
+        text,
+      );
+      const refused = "callers of the account app are refused";
+      expect(diff.stdout).toEqual(
+        expect.includes(`- accounts[app]: {"name":"app"`),
+      );
+      expect(diff.stdout).toEqual(expect.includes(`\n    ${refused}`));
+      const put = ["document", "put", "-"];
+      const accepted = await runCli(put, settings, text);
+      expect(accepted.stdout).toEqual(
+        expect.includes("trial: revision 2 accepted"),
+      );
+      const codes = accepted.stderr.trim().split("\n")
+        .map((line) => line.split(" ").slice(0, 2).join(" "));
+      expect(codes.sort()).toEqual([
+        "warning F304",
+        "warning F401",
+        "warning F403",
+      ]);
+      expect(accepted.stderr).toEqual(expect.includes(refused));
+    });
+  });
 });
