Log the findings of each configuration on the users' platform

Cause: a version of the configuration took effect without a word about routes that hide each other, limits that contradict each other, or keys that end; only entries of accounts were named (event 204).

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -39,6 +39,8 @@
   REVISION_REJECTED: event(202, "revision-rejected", "warn"),
   REVISION_FROM_PEER: event(203, "revision-from-peer", "info"),
   ACCOUNT_ENTRY_ODD: event(204, "account-entry-odd", "warn"),
+  CONFIGURATION_WARNING: event(205, "configuration-warning", "warn"),
+  CONFIGURATION_NOTE: event(206, "configuration-note", "info"),
   TABLE_SERVICE_FAILED: event(301, "table-service-failed", "warn"),
   OBJECT_STORE_FAILED: event(302, "object-store-failed", "warn"),
   HOST_LIST_FAILED: event(303, "host-list-failed", "warn"),
