--- a/src/plugins/document/document.ts
+++ b/src/plugins/document/document.ts
@@ -87,11 +87,11 @@
   const names = value.instances.map((instance) => instance.name);
   reportDuplicates(names, ["instances"], context);
   if (value.preferredPrimary && !names.includes(value.preferredPrimary)) {
-    context.addIssue({
-      code: "custom",
-      path: ["preferredPrimary"],
-      message: `expected one of ${names.join(", ")}`,
-    });
+    reportUnknownName(
+      ["preferredPrimary"],
+      { what: "", known: names },
+      context,
+    );
   }
 });
 
@@ -113,19 +113,37 @@
     context,
   );
   const zones = new Set(value.zones);
+  const unknownZone = { what: "the zones ", known: value.zones };
   value.proxies.forEach((proxy, index) => {
     if (zones.has(proxy.zone)) return;
-    reportUnknownZone(["proxies", index, "zone"], value.zones, context);
+    reportUnknownName(["proxies", index, "zone"], unknownZone, context);
   });
   value.groups.forEach((group, groupIndex) => {
     group.instances.forEach((instance, instanceIndex) => {
       if (zones.has(instance.zone)) return;
       const path = ["groups", groupIndex, "instances", instanceIndex, "zone"];
-      reportUnknownZone(path, value.zones, context);
+      reportUnknownName(path, unknownZone, context);
     });
   });
 });
 
+/** Most operations that a quota can state, far above what a group can serve; a larger figure is a mistake. */
+const MAX_QUOTA_OPERATIONS = 1_000_000;
+
+const RATE_MESSAGE =
+  `expected operations a second, above 0 and at most ${MAX_QUOTA_OPERATIONS}`;
+const BURST_MESSAGE =
+  `expected a whole number of operations from 1 to ${MAX_QUOTA_OPERATIONS}`;
+
+const quotaSchema = z.strictObject({
+  /** Operations a second, over all proxies together. */
+  rate: z.number(RATE_MESSAGE).positive(RATE_MESSAGE)
+    .max(MAX_QUOTA_OPERATIONS, RATE_MESSAGE),
+  /** Operations that may run at once after a pause, over all proxies together; default is one second of the rate. */
+  burst: z.number(BURST_MESSAGE).int(BURST_MESSAGE).min(1, BURST_MESSAGE)
+    .max(MAX_QUOTA_OPERATIONS, BURST_MESSAGE).optional(),
+}).transform(({ rate, burst }) => ({ rate, burst: burst ?? Math.ceil(rate) }));
+
 const accountSchema = z.strictObject({
   name: nameSchema,
   /** `scrypt$N$r$p$salt$hash`, salt and hash in base64. */
@@ -135,6 +153,8 @@
   ),
   /** Databases that the account may open. */
   databases: z.array(nameSchema).min(1),
+  /** Limit of the operations of the account's callers; unlimited if it is left out. */
+  quota: quotaSchema.optional(),
 });
 
 /** Schema of the configuration document. */
@@ -154,14 +174,12 @@
         environment.groups.map((group) => group.database)
       ),
   );
+  const unknownDatabase = { what: "the databases ", known: [...databases] };
   value.accounts.forEach((account, accountIndex) => {
     account.databases.forEach((database, databaseIndex) => {
       if (databases.has(database)) return;
-      context.addIssue({
-        code: "custom",
-        path: ["accounts", accountIndex, "databases", databaseIndex],
-        message: `expected one of the databases ${[...databases].join(", ")}`,
-      });
+      const path = ["accounts", accountIndex, "databases", databaseIndex];
+      reportUnknownName(path, unknownDatabase, context);
     });
   });
 });
@@ -194,29 +212,48 @@
   : T extends object ? { readonly [K in keyof T]: DeepReadonly<T[K]> }
   : T;
 
+/** What an issue tells about a name that refers to nothing. */
+export interface UnknownName {
+  /** What the known names are, such as `the zones `. */
+  readonly what: string;
+  readonly known: readonly string[];
+}
+
+/** What an issue tells about a name that is listed before. */
+export interface DuplicateName {
+  readonly duplicate: string;
+}
+
 function reportDuplicates(
   names: readonly string[],
   path: (string | number)[],
   context: z.RefinementCtx,
 ): void {
+  const seen = new Set<string>();
   names.forEach((name, index) => {
-    if (names.indexOf(name) === index) return;
-    context.addIssue({
-      code: "custom",
-      path: [...path, index],
-      message: `expected a unique name, found ${name} again`,
-    });
+    if (seen.has(name)) {
+      const params: DuplicateName = { duplicate: name };
+      context.addIssue({
+        code: "custom",
+        path: [...path, index],
+        message: "expected a unique name",
+        params: { ...params },
+      });
+    }
+    seen.add(name);
   });
 }
 
-function reportUnknownZone(
+/** The names are listed when the issue is described, since thousands of issues may have thousands of them. */
+function reportUnknownName(
   path: (string | number)[],
-  zones: readonly string[],
+  { what, known }: UnknownName,
   context: z.RefinementCtx,
 ): void {
   context.addIssue({
     code: "custom",
     path,
-    message: `expected one of the zones ${zones.join(", ")}`,
+    message: "expected a known name",
+    params: { what, known },
   });
 }
