--- a/src/plugins/document/yaml_text.ts
+++ b/src/plugins/document/yaml_text.ts
@@ -301,7 +301,7 @@
 }
 
 /** Keeps the problems that are described. */
-export function limitProblems(problems: readonly Problem[]): Rejection {
+function limitProblems(problems: readonly Problem[]): Rejection {
   const described = problems.slice(0, MAX_PROBLEMS);
   return { problems: described, omitted: problems.length - described.length };
 }
