Test changes of primary whose connections few hosts hold

Cause: most hosts have no connection to the primary, so only its holder can find it dead, and a change must not wait for holders that are gone.

The load and its checks move to a fixture. The stand-in records a statement only if it ran, since a refused one may be sent again.

--- a/standins/line_group/connection.ts
+++ b/standins/line_group/connection.ts
@@ -12,6 +12,9 @@
 /** Maximum length of a message, in bytes. */
 const MESSAGE_MAX_BYTES = 1024 * 1024;
 
+/** The position that a statement requires. */
+const AFTER = /^AFTER (\d+)\.(\d+) /;
+
 /** A prepared statement; a shape is the last field of its line, so it may contain spaces. */
 interface Prepared {
   readonly effect: string;
@@ -62,7 +65,9 @@
     const [word, id = "-", ...rest] = line.split(" ");
     if (word === "TERMINATE") return void this.#socket.end();
     if (this.#account === undefined) return this.#startup(word!, id, rest);
-    const [error, row] = this.#run(id, rest.join(" "));
+    const text = rest.join(" ");
+    const [error, row] = this.#run(id, text);
+    if (!error && id !== "-") this.#recordRun(id, text);
     const out = row === undefined ? "" : `DATAROW ${row}\r\n`;
     const end = error
       ? `ERROR ${error} ${this.#member.id}\r\n`
@@ -94,6 +99,11 @@
     this.#socket.write(`READY I ${this.#member.position(0)}\r\n`);
   }
 
+  #recordRun(id: string, given: string): void {
+    const [word = ""] = given.replace(AFTER, "").split(" ", 1);
+    this.#member.recordRun({ id, word, account: this.#account! });
+  }
+
   #sign(id: string): string {
     this.#signed += 1;
     return id === "-" ? "-" : `${this.#member.id}.${this.#signed}`;
@@ -101,15 +111,12 @@
 
   /** The error word, and the row of a success. */
   #run(id: string, given: string): readonly [string?, string?] {
-    const after = /^AFTER (\d+)\.(\d+) /.exec(given);
+    const after = AFTER.exec(given);
     const text = after ? given.slice(after[0].length) : given;
     if (after && !this.#member.shows(Number(after[1]), Number(after[2]))) {
       return ["LAGGING"];
     }
     const [word, first = "", ...rest] = text.split(" ");
-    if (id !== "-") {
-      this.#member.recordRun({ id, word: word!, account: this.#account! });
-    }
     // The last field extends to the end of the line.
     const argument = [first, ...rest].join(" ");
     switch (word) {
--- a/test/platform/forwarding_test.ts
+++ b/test/platform/forwarding_test.ts
@@ -8,134 +8,24 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
 import { eventually } from "../support/eventually.ts";
+import { Deployment, type Host } from "./fixtures/deployment.ts";
 import {
-  Deployment,
-  type Host,
-  type LogLine,
-  type MemberState,
-} from "./fixtures/deployment.ts";
-
-/** Events of the hosts' logs. */
-const HOLDER_CHANGED = 620;
-
-const PRIMARY = "i-ledger-0";
-
-/** Five hosts for three connections, so that few hold them for all, also without one of them. */
-const FEW_CONNECTIONS = {
-  hosts: 5,
-  hostZones: ["zagreb-a"],
-  channels: true,
-  connections: 3,
-};
-
-/** Pause of a writer between two statements, in ms. */
-const WRITE_PAUSE_MS = 20;
-
-/** A write as its caller saw it; `error` is undefined for an acknowledged one. */
-interface Write {
-  readonly id: string;
-  readonly sentAt: number;
-  readonly endedAt: number;
-  readonly error: string | undefined;
-}
+  agreedHolders,
+  expectToldTruth,
+  FEW_CONNECTIONS,
+  findMember,
+  Load,
+  longestGap,
+} from "./fixtures/forwarding_load.ts";
 
 let deployment: Deployment;
 
-/** The last line of a host's log about who holds an instance. */
-function belief(host: Host, id = PRIMARY): LogLine | undefined {
-  return host.log.findLast(({ event, instance }) =>
-    event === HOLDER_CHANGED && instance === id
-  );
-}
-
-/** The holder and the standby that these hosts know, once they agree. */
-async function agreedHolders(
-  hosts: readonly Host[] = deployment.hosts,
-): Promise<readonly Host[]> {
-  await eventually(() => {
-    const views = hosts.map((host) => {
-      const line = belief(host);
-      return `${line?.["holder"]} ${line?.["standby"]}`;
-    });
-    return new Set(views).size === 1 && !views[0]!.includes("undefined");
-  });
-  const { holder, standby } = belief(hosts[0]!)!;
-  return [holder, standby].map((name) =>
-    deployment.hosts.find((host) => host.name === name)!
-  );
-}
-
-async function member(id = PRIMARY): Promise<MemberState> {
-  return (await deployment.members()).find((one) => one.id === id)!;
-}
-
-/** Writes through some hosts, each write once, until it is ended. */
-class Load {
-  readonly writes: Write[] = [];
-  #isOver = false;
-  readonly #writers: Promise<void>[];
-
-  constructor(hosts: readonly Host[]) {
-    this.#writers = hosts.map((host) => this.#write(host));
-  }
-
-  /** Ends the load once each writer has its last answer. */
-  async end(): Promise<readonly Write[]> {
-    this.#isOver = true;
-    await Promise.all(this.#writers);
-    return this.writes;
-  }
-
-  async #write(host: Host): Promise<void> {
-    const index = deployment.hosts.indexOf(host);
-    let caller = await deployment.open(index, "booking");
-    for (let turn = 0; !this.#isOver; turn += 1) {
-      const id = `${host.name}.${turn}`;
-      const sentAt = performance.now();
-      const answer = await caller.run(`WRITE ${id} x`, id)
-        .catch(() => ({ error: "UNKNOWN" }));
-      const { error } = answer;
-      this.writes.push({ id, sentAt, endedAt: performance.now(), error });
-      if (caller.closed) caller = await deployment.open(index, "booking");
-      await sleep(WRITE_PAUSE_MS);
-    }
-    caller.close();
-  }
-}
-
-/** Checks what callers were told against what the primary ran. */
-async function expectTrue(writes: readonly Write[]): Promise<void> {
-  const { ran } = await member();
-  const counts = new Map<string, number>();
-  for (const { id } of ran) counts.set(id, (counts.get(id) ?? 0) + 1);
-  const runsOf = ({ id }: Write) => counts.get(id) ?? 0;
-  const twice = writes.filter((write) => runsOf(write) > 1);
-  const lost = writes.filter((write) => !write.error && runsOf(write) !== 1);
-  const ranAnyway = writes.filter((write) =>
-    write.error === "BUSY" && runsOf(write) > 0
-  );
-  expect({ twice, lost, ranAnyway }).toEqual({
-    twice: [],
-    lost: [],
-    ranAnyway: [],
-  });
-}
-
-/** Longest time in ms in which no write ended successfully, from a time on. */
-function longestGap(writes: readonly Write[], from: number): number {
-  const ends = writes.filter(({ error }) => !error)
-    .map(({ endedAt }) => endedAt)
-    .filter((at) => at > from)
-    .sort((a, b) => a - b);
-  return Math.max(...ends.map((at, index) => at - (ends[index - 1] ?? from)));
-}
-
 describe("hosts that share few connections", () => {
   afterEach(() => deployment.stop());
 
   it("run the statements of all hosts on the holder's connections", async () => {
     deployment = await Deployment.start(FEW_CONNECTIONS);
-    const [holder] = await agreedHolders();
+    const [holder] = await agreedHolders(deployment);
     for (const index of deployment.hosts.keys()) {
       const caller = await deployment.open(index, "booking");
       for (let turn = 0; turn < 5; turn += 1) {
@@ -147,7 +37,7 @@
       }
       caller.close();
     }
-    const { ran, mostOpen } = await member();
+    const { ran, mostOpen } = await findMember(deployment);
     expect(ran.filter(({ word }) => word === "WRITE").length).toEqual(25);
     const users = new Set(ran.map(({ account }) => account));
     expect([...users]).toEqual([holder!.name]);
@@ -156,7 +46,7 @@
 
   it("pass a statement of the longest message, and texts of any bytes", async () => {
     deployment = await Deployment.start(FEW_CONNECTIONS);
-    const [holder] = await agreedHolders();
+    const [holder] = await agreedHolders(deployment);
     const other = deployment.hosts.findIndex((host) => host !== holder);
     const caller = await deployment.open(other, "booking");
     const head = "QUERY l1 WRITE long ";
@@ -168,7 +58,7 @@
     await caller.run("SET note \u0000\u00ff\u0001");
     const written = await caller.run(`WRITE long ${data}`, "l1");
     expect(written.error).toEqual(undefined);
-    const { log } = await member();
+    const { log } = await findMember(deployment);
     expect(log.some(({ writes }) => writes.some(({ id }) => id === "l1")))
       .toEqual(true);
     const read = await caller.run("READ short");
@@ -178,7 +68,7 @@
 
   it("run transactions on one connection, and roll back those of a host that dies", async () => {
     deployment = await Deployment.start(FEW_CONNECTIONS);
-    const [holder] = await agreedHolders();
+    const [holder] = await agreedHolders(deployment);
     const other = deployment.hosts.findIndex((host) => host !== holder);
     const caller = await deployment.open(other, "booking");
     for (const statement of ["BEGIN", "WRITE t1 a", "WRITE t2 b", "COMMIT"]) {
@@ -211,15 +101,15 @@
 
   /** Lets the holder fail while all other hosts write; returns the writes and the time of the fault. */
   async function failHolder(fault: (holder: Host) => Promise<unknown>) {
-    const [holder] = await agreedHolders();
+    const [holder] = await agreedHolders(deployment);
     const others = deployment.hosts.filter((host) => host !== holder);
-    const load = new Load(others);
+    const load = new Load(deployment, others);
     await sleep(1_000);
     const at = performance.now();
     await fault(holder!);
     await sleep(1_500);
     const writes = await load.end();
-    await expectTrue(writes);
+    await expectToldTruth(deployment, writes);
     const before = writes.filter(({ endedAt }) => endedAt < at);
     expect(before.every(({ error }) => error === undefined)).toEqual(true);
     return { writes, at, holder: holder!, others };
@@ -257,7 +147,7 @@
       await holder.ended();
     });
     expect(writes.filter(({ error }) => error === "UNKNOWN")).toEqual([]);
-    const [successor] = await agreedHolders(others);
+    const [successor] = await agreedHolders(deployment, others);
     expect(successor !== holder).toEqual(true);
   });
 });
