Send commands to the standby when the holder is slow, and log holders

Cause: a change of primary asks each replica once, for 500 ms; a holder that froze just then would hide the replica with the furthest log. What a host believes of its holders was in no log line.

Change: STATUS, PAUSE, RESUME and STEPDOWN also go to the next host after 150 ms without a reply, since they have the same effect however often they run. Events 623 to 625: a holder is passed over, is used again, and one line of counters at most every 10 s.

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -101,6 +101,9 @@
   HOLDER_CHANGED: event(620, "holder-changed", "info"),
   HOLDER_STOPPING: event(621, "holder-stopping", "info"),
   HOLDER_LEAVES: event(622, "holder-leaves", "info"),
+  HOLDER_PASSED_OVER: event(623, "holder-passed-over", "warn"),
+  HOLDER_USED_AGAIN: event(624, "holder-used-again", "info"),
+  WORK_FORWARDED: event(625, "work-forwarded", "info"),
 } as const satisfies Record<string, EventKind>;
 
 /** Fields of a log line in addition to the event's number and name. */
--- a/src/plugins/forwarding/forwarded_link.ts
+++ b/src/plugins/forwarding/forwarded_link.ts
@@ -41,7 +41,12 @@
   writeEnd,
   writeRun,
 } from "./work_messages.ts";
-import type { HolderTime, SendOutcome, WorkSender } from "./work_sender.ts";
+import type {
+  HolderTime,
+  OutgoingWork,
+  SendOutcome,
+  WorkSender,
+} from "./work_sender.ts";
 
 let lastLinkId = 0;
 let lastTransaction = 0;
@@ -289,12 +294,15 @@
     const { sender, counters, onActive, onIdle } = this.#context;
     onActive(this);
     this.lastUsedAt = clock.now();
-    const outcome = await sender.send({
+    const work: OutgoingWork = {
       instance: this.#listed,
       kind,
       deadline,
       write: (holderTime) => write(this.#target(deadline, holderTime)),
-    }, this.#waits);
+    };
+    const outcome = kind === WorkKinds.COMMAND
+      ? await sender.sendRepeatable(work, this.#waits)
+      : await sender.send(work, this.#waits);
     if (!this.#transaction && this.#waits.size === 0) onIdle(this);
     counters.countForwarded(classify(outcome));
     return outcome;
--- a/src/plugins/forwarding/holder_health.ts
+++ b/src/plugins/forwarding/holder_health.ts
@@ -26,16 +26,24 @@
 /** Connects to a holder; resolves to whether its process answered. */
 export type HolderTrial = (endpoint: string) => Promise<boolean>;
 
+/** Called when a holder begins to be passed over, with the reason and the pause in ms, and when it is used again. */
+export interface HolderHealthEvents {
+  onPassedOver(endpoint: string, reason: string, pause: number): void;
+  onUsedAgain(endpoint: string): void;
+}
+
 /** The holders' failures as this proxy has seen them, by the endpoint of their channels. */
 export class HolderHealth {
   readonly #tryHolder: HolderTrial;
+  readonly #events: HolderHealthEvents;
   readonly #failures = new Map<string, Failure>();
   /** Monotonic ms until which an endpoint is not asked for an instance. */
   readonly #refusals = new Map<string, number>();
 
   /** `tryHolder` is called once the pause after a failure is over, so that no work is risked to find out. */
-  constructor(tryHolder: HolderTrial) {
+  constructor(tryHolder: HolderTrial, events: HolderHealthEvents) {
     this.#tryHolder = tryHolder;
+    this.#events = events;
   }
 
   /** Whether work for an instance may be sent to a holder now; starts a trial when it is due. */
@@ -52,7 +60,7 @@
   }
 
   /** Records that a holder could not be reached, or was lost with work on it; ignored while it is passed over. */
-  recordFailure(endpoint: string, now = clock.now()): void {
+  recordFailure(endpoint: string, reason: string, now = clock.now()): void {
     const before = this.#failures.get(endpoint);
     if (before && !before.isTried && now < before.until) return;
     const count = (before?.count ?? 0) + 1;
@@ -61,6 +69,7 @@
       FAILURE_PAUSE_MS * 2 ** (count - 1),
     );
     this.#failures.set(endpoint, { count, until: now + pause, isTried: false });
+    this.#events.onPassedOver(endpoint, reason, pause);
   }
 
   /** Records that a host said that it does not hold an instance. */
@@ -70,8 +79,11 @@
   }
 
   async #try(endpoint: string): Promise<void> {
-    if (await this.#tryHolder(endpoint)) this.#failures.delete(endpoint);
-    else this.recordFailure(endpoint);
+    if (!await this.#tryHolder(endpoint)) {
+      return this.recordFailure(endpoint, "the trial failed");
+    }
+    this.#failures.delete(endpoint);
+    this.#events.onUsedAgain(endpoint);
   }
 }
 
--- a/src/plugins/forwarding/plugin.ts
+++ b/src/plugins/forwarding/plugin.ts
@@ -4,10 +4,12 @@
  *
  * @module
  */
+import { Events } from "../../kernel/events.ts";
 import { registerPlugin } from "../../kernel/kernel.ts";
 import type { LinkPools } from "../connections/link_pools.ts";
 import { ForwardingCounters } from "./forwarding_counters.ts";
 import { ForwardingPools } from "./forwarding_pools.ts";
+import { ForwardingReport } from "./forwarding_report.ts";
 import { HolderHealth } from "./holder_health.ts";
 import { HolderLoads } from "./holder_loads.ts";
 import { Holders } from "./holders.ts";
@@ -24,6 +26,7 @@
     localWork: LocalWork;
     holderService: HolderService;
     holderStop: HolderStop;
+    forwardingReport: ForwardingReport;
     pools: LinkPools;
   }
 }
@@ -84,7 +87,7 @@
     "localWork",
     "forwardingCounters",
   ],
-  create: ({ use }) => {
+  create: ({ log, use }) => {
     const { proxy } = use("place");
     const channels = use("channels");
     const counters = use("forwardingCounters");
@@ -94,6 +97,11 @@
     const health = new HolderHealth(async (endpoint) => {
       const connected = await channels.connect(endpoint, TRIAL_TIMEOUT_MS);
       return connected.isOk();
+    }, {
+      onPassedOver: (endpoint, reason, pause) =>
+        log.write(Events.HOLDER_PASSED_OVER, { endpoint, reason, pause }),
+      onUsedAgain: (endpoint) =>
+        log.write(Events.HOLDER_USED_AGAIN, { endpoint }),
     });
     return new ForwardingPools({
       pools: use("upstreamPools"),
@@ -153,3 +161,10 @@
       log,
     }),
 });
+
+registerPlugin({
+  name: "forwardingReport",
+  needs: ["forwardingCounters"],
+  create: ({ log, use }) =>
+    new ForwardingReport(use("forwardingCounters"), log),
+});
--- a/src/plugins/forwarding/work_sender.ts
+++ b/src/plugins/forwarding/work_sender.ts
@@ -8,6 +8,7 @@
 import type { PeerChannels } from "../channels/channels.ts";
 import type { ListedInstance } from "../deployment/instance_directory.ts";
 import type { LinkLoss } from "../upstream/link.ts";
+import { sleep } from "../../utils/sleep.ts";
 import type { ForwardingCounters } from "./forwarding_counters.ts";
 import type { HolderHealth } from "./holder_health.ts";
 import type { HolderLoads } from "./holder_loads.ts";
@@ -18,6 +19,12 @@
 /** Time limit for the connection to a holder, in ms: what a ping may take. */
 const CONNECT_TIMEOUT_MS = 600;
 
+/**
+ * Time without a reply after which a command is also sent to the next host, in ms: longer than
+ * most statements wait, and short enough for two hosts within a command's time limit.
+ */
+const COMMAND_PATIENCE_MS = 150;
+
 /** Dependencies of the sender. */
 export interface WorkSenderOptions {
   /** Name of this proxy. */
@@ -79,6 +86,31 @@
     return { kind: "not taken" };
   }
 
+  /** Sends work whose effect is the same however often it is run: also to the standby if the holder is slow or was lost. */
+  async sendRepeatable(
+    work: OutgoingWork,
+    waits: ReplyWaits,
+  ): Promise<SendOutcome> {
+    const { order, proxy, health } = this.#options;
+    const attempts: Promise<SendOutcome>[] = [];
+    for (const holder of order.holders(work.instance)) {
+      // This proxy is the standby, and the holder has had its time.
+      if (holder.name === proxy) return { kind: "not taken" };
+      if (!health.isUsable(holder.channel, work.instance.id)) continue;
+      attempts.push(this.#sendTo(holder, work, waits));
+      const reply = await Promise.race([
+        findReply(attempts),
+        sleep(COMMAND_PATIENCE_MS),
+      ]);
+      if (reply) return reply;
+    }
+    const reply = await findReply(attempts);
+    if (reply) return reply;
+    const outcomes = await Promise.all(attempts);
+    return outcomes.find(({ kind }) => kind === "lost") ??
+      { kind: "not taken" };
+  }
+
   /** The time of the process at an endpoint, if there is a connection to it. */
   holderTime(channel: string): HolderTime | undefined {
     const { channels } = this.#options;
@@ -103,7 +135,7 @@
     }
     const holderTime = this.holderTime(channel);
     if (!holderTime) {
-      health.recordFailure(channel);
+      health.recordFailure(channel, "unreachable");
       counters.countHolderFailure("unreachable");
       return { kind: "not taken" };
     }
@@ -115,7 +147,7 @@
       callTimeout(deadline),
     );
     // Also when the work's own deadline has passed before.
-    void call.orTee(() => this.#recordEnd(channel));
+    void call.orTee(({ reason }) => this.#recordEnd(channel, reason));
     const outcome = await waits.wait(call, deadline);
     switch (outcome.kind) {
       case "not received":
@@ -146,8 +178,21 @@
   }
 
   /** Records a failure of the holder if its connection has ended; otherwise it only had no room. */
-  #recordEnd(channel: string): void {
+  #recordEnd(channel: string, reason: string): void {
     if (this.holderTime(channel)) return;
-    this.#options.health.recordFailure(channel);
+    this.#options.health.recordFailure(channel, reason);
   }
 }
+
+/** The first reply of some attempts; undefined once all have ended without one. */
+function findReply(
+  attempts: readonly Promise<SendOutcome>[],
+): Promise<SendOutcome | undefined> {
+  return new Promise((resolve) => {
+    const ends = attempts.map(async (attempt) => {
+      const outcome = await attempt;
+      if (outcome.kind === "replied") resolve(outcome);
+    });
+    void Promise.all(ends).then(() => resolve(undefined));
+  });
+}
--- a/test/platform/holder_faults_test.ts
+++ b/test/platform/holder_faults_test.ts
@@ -36,6 +36,11 @@
     }
     expect(usedAt.slice(0, 28).every((by) => by === "b")).toEqual(true);
     expect(usedAt.at(-1)).toEqual("a");
+    expect(hosts.sender.events).toEqual([
+      "passed over",
+      "passed over",
+      "used again",
+    ]);
   });
 
   // Guards against a write that runs twice, since the sender can't tell that it ran.
@@ -108,6 +113,36 @@
   });
 });
 
+describe("a command", () => {
+  // Guards against a change of primary that passes over a replica whose holder has just frozen.
+  it("is also sent to the standby when the holder does not reply", async (hosts) => {
+    await hosts.run("READ 0");
+    await hosts.run("READ 0", { host: hosts.standby });
+    hosts.holder.channels.mode = "frozen";
+    for (const host of [hosts.sender, hosts.standby]) {
+      const link = await hosts.acquire(host);
+      const sentAt = clock.now();
+      const paused = await link.pause(4, sentAt + 500);
+      expect(paused.isOk()).toEqual(true);
+      expect(clock.now() - sentAt < 200).toEqual(true);
+    }
+    expect(hosts.ranBy).toEqual([
+      "a READ 0",
+      "a READ 0",
+      "b STATUS",
+      "b STATUS",
+    ]);
+  });
+
+  it("is not sent twice while the instance is slow for less than its patience", async (hosts) => {
+    hosts.instance.delay = 100;
+    const link = await hosts.acquire();
+    await link.status(clock.now() + 400);
+    await sleep(500);
+    expect(hosts.ranBy).toEqual(["a STATUS"]);
+  });
+});
+
 describe("an instance that is slow", () => {
   it("has its late answer told, which says that nothing runs any more", async (hosts) => {
     const { instance } = hosts;
