--- a/src/plugins/quotas/account_queue.ts
+++ b/src/plugins/quotas/account_queue.ts
@@ -23,6 +23,9 @@
 /** Operations a second below which an account has no demand. */
 const NEGLIGIBLE_DEMAND = 0.1;
 
+/** Operations a second from which on tokens are kept in stock. */
+const MIN_STOCK_DEMAND = 1;
+
 /** Most tokens that are asked for in advance. */
 const MAX_STOCK = 1_000;
 
@@ -81,6 +84,9 @@
   #formerStock: Stock = NO_STOCK;
   /** Tokens that the coordinator counts as lent to this host. */
   #borrowed = 0;
+  /** Operations, and tokens for them and for the stock, that requests under way ask for. */
+  #askedOperations = 0;
+  #askedTokens = 0;
   /** Clock ms until which the coordinator has no token for this host. */
   #emptyUntil = 0;
   /** Clock ms from which waiting operations may be asked for again. */
@@ -205,28 +211,38 @@
   want(lender: string, now: number): Want | undefined {
     const stock = this.#stock;
     const isUsable = stock.lender === lender && now < stock.expiresAt;
-    const unused = isUsable ? stock.amount : 0;
-    const expected = Math.min(
-      MAX_STOCK,
-      Math.floor(this.#demand.rate(now) * STOCK_MS / 1_000),
-    );
-    const waiting = now >= this.#askAt ? this.#waiters.length : 0;
-    const missing = this.isEmpty(now) ? 0 : Math.max(0, expected - unused);
-    if (unused === this.#borrowed && waiting === 0 && missing === 0) {
-      if (unused === 0) return undefined;
-    }
+    // What is under way may be here when the request arrives.
+    const unused = (isUsable ? stock.amount : 0) + this.#askedTokens;
+    const waiting = now >= this.#askAt ? this.#unasked : 0;
+    const missing = this.isEmpty(now)
+      ? 0
+      : Math.max(0, this.#expected(now) - unused);
+    const nothing = unused === 0 && this.#borrowed === 0;
+    if (nothing && waiting === 0 && missing === 0) return undefined;
+    this.#askedOperations += waiting;
+    this.#askedTokens += waiting + missing;
     return { id: this.#account.id, unused, waiting, stock: missing };
   }
 
-  /** Clock ms from which waiting operations are to be asked for; Infinity if none waits. */
+  /** Records that a request has ended, with or without an answer. */
+  endRequest({ waiting, stock }: Want): void {
+    this.#askedOperations -= waiting;
+    this.#askedTokens -= waiting + stock;
+  }
+
+  /** Clock ms from which operations are to be asked for that no request under way asks for; Infinity if there are none. */
   get askAt(): number {
-    return this.#waiters.length > 0 ? this.#askAt : Infinity;
+    return this.#unasked > 0 ? this.#askAt : Infinity;
+  }
+
+  get #unasked(): number {
+    return Math.max(0, this.#waiters.length - this.#askedOperations);
   }
 
   /** Whether tokens should be kept in stock, or those of the coordinator are to be reported. */
   needsRefresh(now: number): boolean {
     return this.#borrowed > 0 || this.#stock.amount > 0 ||
-      this.#demand.rate(now) * STOCK_MS >= 1_000;
+      this.#expected(now) > 0;
   }
 
   /** Whether the account had no operation for a while and holds nothing. */
@@ -248,8 +264,8 @@
     }
     const stock = this.#stock;
     if (now >= stock.expiresAt) stock.amount = 0;
-    stock.amount = Math.min(stock.amount, want.unused) + granted;
-    stock.expiresAt = requestedAt + TOKEN_LIFE_MS;
+    stock.amount += granted;
+    stock.expiresAt = Math.max(stock.expiresAt, requestedAt + TOKEN_LIFE_MS);
   }
 
   /** Records that the coordinator expects tokens from other hosts. */
@@ -262,6 +278,13 @@
     this.#emptyUntil = now + pause;
   }
 
+  /** Operations that are expected before the next but one request. */
+  #expected(now: number): number {
+    const rate = this.#demand.rate(now);
+    if (rate < MIN_STOCK_DEMAND) return 0;
+    return Math.min(MAX_STOCK, Math.ceil(rate * STOCK_MS / 1_000));
+  }
+
   /** Forgets what a coordinator said that has been lost. */
   forgetCoordinator(): void {
     this.#borrowed = 0;
--- a/src/plugins/quotas/coordinator_link.ts
+++ b/src/plugins/quotas/coordinator_link.ts
@@ -11,6 +11,8 @@
   formatAsk,
   MessageKinds,
   parseAnswer,
+  RELEASED,
+  UNCHANGED,
   type Wake,
   type Want,
 } from "./messages.ts";
@@ -42,7 +44,7 @@
   readonly lender: string;
 }
 
-/** Sends one request at a time. */
+/** Sends the requests of one shard. */
 export class CoordinatorLink {
   readonly #options: LinkOptions;
   readonly #onChange: () => void;
@@ -51,6 +53,8 @@
   readonly part: Part;
   #sequence = 0;
   #lastTarget = "";
+  /** Whether a request with a delegation is under way. A second one would only make the part come back later if there is no answer. */
+  #isDelegating = false;
 
   /** `onChange` is called when another coordinator is known, or the part can be delegated again. */
   constructor(options: LinkOptions, onChange: () => void) {
@@ -101,17 +105,21 @@
     const target = this.#search.target!;
     this.#noteTarget(target);
     const { lender } = this;
-    const delegation = lender && this.part.mayDelegate(lender, now)
+    const delegates = !this.#isDelegating && lender !== undefined &&
+      this.part.mayDelegate(lender, now);
+    const delegation = delegates
       ? this.part.delegate(lender, accounts, now)
       : undefined;
+    if (delegates) this.#isDelegating = true;
     const ask = this.#formatAsk(
       target.name,
-      delegation ? roster.size(now) : 0,
+      delegation ? roster.size(now) : UNCHANGED,
       delegation,
       wants,
       now,
     );
     network.call(target.endpoint, MessageKinds.ASK, ask, (end) => {
+      if (delegates) this.#isDelegating = false;
       const answer = parseAnswer(end.body);
       if (!answer) {
         this.#recordFailure(target, delegation, end);
@@ -136,6 +144,12 @@
     return this.#search.target?.name === coordinator;
   }
 
+  /** Takes the part back from the present coordinator, since the host needs nothing. */
+  rest(): void {
+    const { target } = this.#search;
+    if (target) this.#release(target.name);
+  }
+
   #formatAsk(
     coordinator: string,
     parts: number,
@@ -181,18 +195,21 @@
     this.#release(former);
   }
 
-  /** Tells a former coordinator that it may no longer use the part. */
+  /** Tells a coordinator that it may no longer use the part, if it may. */
   #release(coordinator: string): void {
     const { shard, network, roster } = this.#options;
     const candidate = roster.order(shard)
       .find(({ name }) => name === coordinator);
     const lender = this.#lenderOf(coordinator);
-    if (!candidate || !lender) return;
-    const ask = this.#formatAsk(coordinator, 0, undefined, [], network.now());
+    const now = network.now();
+    if (!candidate || !lender || !this.part.isHeldBy(lender, now)) return;
+    const ask = this.#formatAsk(coordinator, RELEASED, undefined, [], now);
     network.call(candidate.endpoint, MessageKinds.ASK, ask, ({ body }) => {
       const answer = parseAnswer(body);
-      if (!answer || `${coordinator}/${answer.life}` !== lender) return;
-      this.part.release(lender, network.now());
+      if (!answer?.handover || `${coordinator}/${answer.life}` !== lender) {
+        return;
+      }
+      this.part.release(lender, answer.handover, network.now());
       this.#onChange();
     });
   }
--- a/src/plugins/quotas/host_quotas.ts
+++ b/src/plugins/quotas/host_quotas.ts
@@ -139,11 +139,13 @@
       .slice(0, limit);
   }
 
-  /** Stops to use this host's part and to coordinate, before the host's row is removed. */
-  leave(): void {
+  /** Stops to use this host's part and to coordinate, before the host's row is removed; returns whether other hosts rely on it. */
+  leave(): boolean {
+    const now = this.#options.network.now();
     this.#roster.leave();
     for (const duty of this.#duties.values()) duty.leave();
     for (const client of this.#clients.values()) client.refresh();
+    return [...this.#duties.values()].some((duty) => !duty.isIdle(now));
   }
 
   /** Ends all timers. */
--- a/src/plugins/quotas/limited_accounts.ts
+++ b/src/plugins/quotas/limited_accounts.ts
@@ -22,10 +22,11 @@
 const MAX_AMOUNT = 1e9;
 
 /**
- * Time whose rate is added to the burst, in ms: tokens in stock at other hosts
- * then don't keep an account from its burst. Taken from the allowance of a tenth.
+ * Time whose rate is added to the burst, in ms, and is the most that hosts keep in
+ * stock together: tokens in stock at other hosts then don't keep an account from
+ * its burst. Taken from the allowance of a tenth.
  */
-const STOCK_ALLOWANCE_MS = 200;
+export const STOCK_ALLOWANCE_MS = 200;
 
 /** What an account may use over all hosts together. */
 export interface Quota {
--- a/src/plugins/quotas/messages.ts
+++ b/src/plugins/quotas/messages.ts
@@ -20,6 +20,10 @@
   ROWS: "quota-rows",
 } as const;
 
+/** In place of a number of parts: the request leaves the delegation as it is, or ends it. */
+export const UNCHANGED = 0;
+export const RELEASED = -1;
+
 /** Shards that a message may name. */
 const MAX_SHARD_COUNT = 1_000;
 const SHARD_PATTERN = /^(\d{1,4}):(\d{1,4})$/;
@@ -45,7 +49,7 @@
   readonly sequence: number;
   /** Life of the coordinator that the host takes this one for; empty if it knows none. */
   readonly coordinatorLife: string;
-  /** Number of parts that the host counts; 0 if it doesn't delegate its part. */
+  /** Number of parts that the host counts if it delegates its own, else `UNCHANGED` or `RELEASED`. */
   readonly parts: number;
   /** Earliest time that the coordinator's clock can show when the request is sent. */
   readonly sentAt: number;
@@ -70,6 +74,8 @@
   /** Host that coordinates the shard from now on; undefined if this one goes on. */
   readonly successor: string | undefined;
   readonly grants: readonly Grant[];
+  /** What the part of a host that has ended its delegation gets back. */
+  readonly handover?: Handover;
 }
 
 /** A coordinator's request for the part of a host without work. */
@@ -102,12 +108,7 @@
     ask.parts,
     // Rounded down: the coordinator counts the delegation from this time.
     Math.floor(ask.sentAt),
-    handover
-      ? [
-        Math.floor(handover.elapsed),
-        handover.levels.map(([id, level]) => [id, roundDown(level)]),
-      ]
-      : 0,
+    formatHandover(handover),
     ask.wants.map(({ id, unused, waiting, stock }) => [
       id,
       unused,
@@ -123,7 +124,8 @@
   const [shard, life, sequence, coordinatorLife, parts, sentAt, handed, list] =
     body;
   if (!isShard(shard) || !isText(life) || !isText(coordinatorLife)) return;
-  if (!isAmount(sequence) || !isAmount(parts) || !isAmount(sentAt)) return;
+  if (!isAmount(sequence) || !isAmount(sentAt)) return undefined;
+  if (!isAmount(parts) && parts !== RELEASED) return undefined;
   const handover = handed === 0 ? undefined : parseHandover(handed);
   if (handed !== 0 && !handover) return undefined;
   const wants = parseList(
@@ -147,28 +149,33 @@
 }
 
 /** Formats an answer. */
-export function formatAnswer({ life, successor, grants }: Answer): unknown {
-  return [
-    life,
-    successor ?? 0,
-    grants.map(({ id, granted, pause, expected }) => {
-      if (pause === 0) return [id, granted];
-      return [id, granted, Math.ceil(pause) * (expected ? -1 : 1)];
-    }),
-  ];
+export function formatAnswer(answer: Answer): unknown {
+  const { life, successor, handover } = answer;
+  const grants = answer.grants.map(({ id, granted, pause, expected }) => {
+    if (pause === 0) return [id, granted];
+    return [id, granted, Math.ceil(pause) * (expected ? -1 : 1)];
+  });
+  const fields = [life, successor ?? 0, grants];
+  return handover ? [...fields, formatHandover(handover)] : fields;
 }
 
 /** Parses an answer; undefined if it has another form. */
 export function parseAnswer(body: unknown): Answer | undefined {
   if (!Array.isArray(body)) return undefined;
-  const [life, successor, list] = body;
+  const [life, successor, list, handed = 0] = body;
   if (!isText(life) || (successor !== 0 && !isText(successor))) return;
+  const handover = handed === 0 ? undefined : parseHandover(handed);
   const grants = parseList(list, ([id, granted, pause = 0]) => {
     if (!isText(id) || !isAmount(granted) || !Number.isFinite(pause)) return;
     return { id, granted, pause: Math.abs(pause), expected: pause < 0 };
   });
   if (!grants) return undefined;
-  return { life, successor: successor === 0 ? undefined : successor, grants };
+  return {
+    life,
+    successor: successor === 0 ? undefined : successor,
+    grants,
+    handover,
+  };
 }
 
 /** Formats a coordinator's request for a part. */
@@ -215,6 +222,12 @@
   return typeof value === "string";
 }
 
+function formatHandover(handover: Handover | undefined): unknown {
+  if (!handover) return 0;
+  const levels = handover.levels.map(([id, level]) => [id, roundDown(level)]);
+  return [Math.floor(handover.elapsed), levels];
+}
+
 function parseHandover(value: unknown): Handover | undefined {
   if (!Array.isArray(value) || !isAmount(value[0])) return undefined;
   const levels = parseList(
--- a/src/plugins/quotas/part.ts
+++ b/src/plugins/quotas/part.ts
@@ -8,11 +8,11 @@
 import { DELEGATION_MS, TOKEN_LIFE_MS } from "./timing.ts";
 import { accrue, TokenBucket } from "./token_bucket.ts";
 
-/** What a host gives a coordinator with a new delegation: the tokens that its part has collected meanwhile. */
+/** The tokens of a part that change hands: those that it has collected at its host, or its fraction of those at a coordinator. */
 export interface Handover {
   /** Time in ms for which the part has filled the accounts that are not listed. */
   readonly elapsed: number;
-  /** Tokens left of the accounts that were used on the host, by the account's id. */
+  /** Tokens of the accounts that were used, by the account's id. */
   readonly levels: readonly (readonly [id: string, level: number])[];
 }
 
@@ -20,7 +20,7 @@
 export interface Delegation {
   /** Undefined for the renewal of a delegation that has not ended. */
   readonly handover: Handover | undefined;
-  /** Takes the delegation back; only if the coordinator has certainly not received the request. */
+  /** Takes the delegation back, unless a later request carries one; only if the coordinator has certainly not received the request. */
   undo(): void;
 }
 
@@ -47,6 +47,8 @@
   #holder: string | undefined;
   #lastHolder: string | undefined;
   #heldUntil = 0;
+  /** Number of requests that carried the part. */
+  #delegations = 0;
   /** Buckets of the accounts that were used here since the part came back. */
   #buckets = new Map<string, TokenBucket>();
 
@@ -138,10 +140,11 @@
     now: number,
   ): Delegation {
     const heldUntil = this.#heldUntil;
+    const number = this.#delegations += 1;
     this.#heldUntil = now + DELEGATION_MS;
     if (this.#holder) {
       const undo = () => {
-        this.#heldUntil = heldUntil;
+        if (this.#delegations === number) this.#heldUntil = heldUntil;
       };
       return { handover: undefined, undo };
     }
@@ -154,7 +157,7 @@
     this.#lastHolder = coordinator;
     this.#buckets = new Map();
     const undo = () => {
-      if (this.#share !== share) return;
+      if (this.#delegations !== number || this.#share !== share) return;
       this.#holder = undefined;
       this.#lastHolder = lastHolder;
       this.#heldUntil = heldUntil;
@@ -165,11 +168,16 @@
     return { handover: { elapsed, levels }, undo };
   }
 
-  /** Records that the coordinator has stopped to use the part. */
-  release(coordinator: string, now: number): void {
+  /** Records that the coordinator has stopped to use the part, and what it gave back. */
+  release(coordinator: string, handover: Handover, now: number): void {
+    this.#takeBack(now);
     if (this.#holder !== coordinator) return;
-    this.#heldUntil = Math.min(this.#heldUntil, now);
+    this.#heldUntil = now;
     this.#takeBack(now);
+    this.#since = now - handover.elapsed;
+    for (const [id, level] of handover.levels) {
+      this.#buckets.set(id, new TokenBucket(level, now));
+    }
   }
 
   /** Nobody fills the part from the end of the delegation on, so it fills buckets here from then on. */
--- a/src/plugins/quotas/quota_service.ts
+++ b/src/plugins/quotas/quota_service.ts
@@ -11,16 +11,21 @@
 import type { PeerChannels } from "../channels/channels.ts";
 import type { ActiveRoutes } from "../deployment/routes.ts";
 import type { Coordination } from "../leadership/coordination.ts";
+import { sleep } from "../../utils/sleep.ts";
 import { ChannelNetwork } from "./channel_network.ts";
 import { HostQuotas } from "./host_quotas.ts";
 import { QuotaLog } from "./quota_log.ts";
 import type { AccountUsage, Quotas } from "./quotas.ts";
 import { WAITS } from "./shard_client.ts";
+import { RENEWAL_MS } from "./timing.ts";
 
 /** Characters of the random name of a run; two runs of a host share one with a chance of 1 in 60 million. */
 const LIFE_LENGTH = 5;
 const LIFE_RADIX = 36;
 
+/** Time in which all hosts ask their coordinator, and so hear of another one, in ms: a renewal and a round trip between regions. */
+const MOVE_MS = RENEWAL_MS + 50;
+
 /** Dependencies of the service. */
 export interface QuotaServiceOptions {
   /** Name of this proxy. */
@@ -80,10 +85,10 @@
     return this.#host.usage(limit);
   }
 
-  /** Gives up this host's part; the sessions have ended, or will be ended without it. */
-  drain(): Promise<void> {
-    this.#host.leave();
-    return Promise.resolve();
+  /** Gives up this host's part, and waits until the hosts that it coordinates have been told of another coordinator. */
+  async drain(deadline: number): Promise<void> {
+    if (!this.#host.leave()) return;
+    await sleep(Math.max(0, Math.min(MOVE_MS, deadline - clock.now())));
   }
 
   stop(): void {
--- a/src/plugins/quotas/roster.ts
+++ b/src/plugins/quotas/roster.ts
@@ -76,7 +76,8 @@
     const hosts = rows.hosts();
     if (live === this.#live && hosts.size === this.#names.size) return false;
     this.#live = live;
-    this.#lowest.record(hosts.size, now);
+    // Before this host has registered, the rows may not have been read.
+    if (this.#presentSince !== undefined) this.#lowest.record(hosts.size, now);
     for (const name of this.#names) {
       if (!hosts.has(name)) this.#departed.set(name, now + DEPARTED_MS);
     }
--- a/src/plugins/quotas/shard_client.ts
+++ b/src/plugins/quotas/shard_client.ts
@@ -22,6 +22,13 @@
   REQUEST_GAP_MS,
 } from "./timing.ts";
 
+/**
+ * Requests that may be under way at the same time, so that an operation doesn't
+ * wait for the answer to an earlier one; enough for a round trip between regions
+ * (24 ms) with a request every 10 ms.
+ */
+const MAX_REQUESTS = 3;
+
 /** Stands for an operation that has to wait for its decision. */
 export const WAITS = Symbol("waits");
 
@@ -44,12 +51,14 @@
   /** Accounts with operations or tokens; the others are not looked at. */
   readonly #busy = new Set<AccountQueue>();
   #accounts: readonly LimitedAccount[] = [];
-  #isRequesting = false;
+  /** Number of requests under way. */
+  #requests = 0;
   #lastSentAt = -Infinity;
   /** Clock ms until which the host has work of limited accounts that its own part is not enough for. */
   #engagedUntil = -Infinity;
   /** Clock ms until which a coordinator needs the part. */
   #wokenUntil = -Infinity;
+  #wasAwake = false;
   #cancelTimer: (() => void) | undefined;
   #timerAt = Infinity;
   #isStopped = false;
@@ -194,7 +203,10 @@
       this.#reportRefused(queue, queue.expire(now, this.#link.part.share));
       if (queue.isIdle(now)) this.#busy.delete(queue);
     }
-    if (!this.#isRequesting && this.#isAwake(now)) this.#request(now);
+    const wasAwake = this.#wasAwake;
+    this.#wasAwake = this.#isAwake(now);
+    if (this.#wasAwake) this.#request(now);
+    else if (wasAwake) this.#link.rest();
     this.#setTimer(now);
   }
 
@@ -204,16 +216,21 @@
       for (const queue of this.#busy) this.#refuseAll(queue, now);
     }
     if (choice !== "known" || now < this.#dueAt(now)) return;
+    this.#send(now);
+  }
+
+  #send(now: number): void {
     const { lender = "" } = this.#link;
     const wants = new Map<AccountQueue, Want>();
     for (const queue of this.#busy) {
       const want = queue.want(lender, now);
       if (want) wants.set(queue, want);
     }
-    this.#isRequesting = true;
+    this.#requests += 1;
     this.#lastSentAt = now;
     this.#link.request([...wants.values()], this.#accounts, now, (answer) => {
-      this.#isRequesting = false;
+      this.#requests -= 1;
+      for (const [queue, want] of wants) queue.endRequest(want);
       if (answer) this.#receive(answer, wants, now);
       else for (const queue of wants.keys()) queue.forgetCoordinator();
       this.#proceed();
@@ -222,17 +239,22 @@
 
   /** Clock ms at which the next request to the coordinator is due. */
   #dueAt(now: number): number {
+    if (this.#requests >= MAX_REQUESTS) return Infinity;
     const soonest = this.#lastSentAt + REQUEST_GAP_MS;
-    let dueAt = Math.min(
-      this.#lastSentAt + RENEWAL_MS,
-      Math.max(soonest, this.#link.delegableAt(now)),
-    );
-    for (const queue of this.#busy) {
-      dueAt = Math.min(dueAt, Math.max(soonest, queue.askAt));
-      if (!queue.needsRefresh(now)) continue;
-      dueAt = Math.min(dueAt, this.#lastSentAt + REFRESH_MS);
+    let dueAt = Infinity;
+    for (const queue of this.#busy) dueAt = Math.min(dueAt, queue.askAt);
+    // Whatever can wait, waits for the requests under way.
+    if (this.#requests === 0) {
+      const needsRefresh = [...this.#busy].some((queue) =>
+        queue.needsRefresh(now)
+      );
+      dueAt = Math.min(
+        dueAt,
+        this.#link.delegableAt(now),
+        this.#lastSentAt + (needsRefresh ? REFRESH_MS : RENEWAL_MS),
+      );
     }
-    return dueAt;
+    return Math.max(soonest, dueAt);
   }
 
   #receive(
@@ -289,7 +311,7 @@
     if (this.#isStopped) return Infinity;
     let at = Infinity;
     for (const queue of this.#busy) at = Math.min(at, queue.decideBy);
-    if (!this.#isAwake(now) || this.#isRequesting) return at;
+    if (!this.#isAwake(now)) return at;
     if (!this.#link.isKnown) return Math.min(at, now + RENEWAL_MS);
     return Math.min(at, Math.max(now, this.#dueAt(now)));
   }
--- a/src/plugins/quotas/shard_coordinator.ts
+++ b/src/plugins/quotas/shard_coordinator.ts
@@ -7,7 +7,14 @@
  * @module
  */
 import type { LimitedAccount } from "./limited_accounts.ts";
-import type { Answer, Ask, Grant, Want } from "./messages.ts";
+import {
+  type Answer,
+  type Ask,
+  type Grant,
+  RELEASED,
+  UNCHANGED,
+  type Want,
+} from "./messages.ts";
 import { type Handover, partCapacity } from "./part.ts";
 import { DELEGATION_MS, RETRY_REQUEST_MS, SETTLING_MS } from "./timing.ts";
 import { accrue } from "./token_bucket.ts";
@@ -34,6 +41,9 @@
 /** Time in ms after which a host may ask again for an account that is unknown here; versions of the configuration spread within a second. */
 const UNKNOWN_PAUSE_MS = 200;
 
+/** Time in ms that stands for a full part; the highest burst at the lowest rate takes longer, and is given back in part. */
+const FULL_MS = 3_600_000;
+
 /** What a coordinator asks about the other hosts. */
 export interface Surroundings {
   /** Hosts that an account's reserved tokens belong to. */
@@ -130,7 +140,11 @@
     // A request that comes twice or late reports tokens as used that a later one was given.
     if (known && ask.sequence <= known.sequence) return undefined;
     this.#borrowers.set(borrower, { sequence: ask.sequence, askedAt: now });
-    this.#updateMember(host, ask, now);
+    if (ask.parts === RELEASED) {
+      const handover = this.#release(host, now);
+      return { life: this.#life, successor, grants: [], handover };
+    }
+    if (ask.parts !== UNCHANGED) this.#updateMember(host, ask, now);
     if (ask.wants.length > 0) this.#workedAt.set(host, now);
     const grants = ask.wants.flatMap((want) => {
       const grant = this.#grant(borrower, want, now);
@@ -145,9 +159,8 @@
     const share = this.#workingShare(now);
     return [...this.#pools.values()].some((pool) => {
       const { quota } = pool.account;
-      const use = pool.use(now);
-      if (!quota || use * WORK_MS < 1) return false;
-      return use > quota.rate * share * OWN_RATE_FRACTION ||
+      if (!quota || pool.lentAt < now - WORK_MS) return false;
+      return pool.use(now) > quota.rate * share * OWN_RATE_FRACTION ||
         quota.capacity * share < OWN_CAPACITY_MIN;
     });
   }
@@ -173,10 +186,6 @@
 
   #updateMember(host: string, ask: Ask, now: number): void {
     const present = this.#members.get(host);
-    if (ask.parts === 0) {
-      if (present) this.#setMember(host, undefined, now);
-      return;
-    }
     // A stamp of an earlier run of this process says nothing about this one's clock.
     if (ask.coordinatorLife !== this.#life || ask.sentAt > now) return;
     const expiresAt = ask.sentAt + DELEGATION_MS;
@@ -192,6 +201,21 @@
     if (ask.handover) this.#credit(host, share, ask.handover);
   }
 
+  /** Gives a host its part back, with its fraction of the tokens that are not lent. */
+  #release(host: string, now: number): Handover {
+    const member = this.#members.get(host);
+    if (!member) return { elapsed: 0, levels: [] };
+    this.#settleAll(now);
+    const fraction = member.share / this.#share;
+    const levels: [string, number][] = [];
+    for (const [id, pool] of this.#pools) {
+      const level = pool.split(fraction, this.#capacity(pool.account));
+      if (level !== undefined) levels.push([id, level]);
+    }
+    this.#setMember(host, undefined, now);
+    return { elapsed: FULL_MS, levels };
+  }
+
   /** Adds the tokens that a part has collected at its host. */
   #credit(host: string, share: number, handover: Handover): void {
     const levels = new Map(handover.levels);
@@ -220,14 +244,14 @@
     }
     this.#settle(pool, now);
     pool.report(borrower, want.unused, now);
-    const granted = pool.lend(borrower, want, now);
+    const rate = (pool.account.quota?.rate ?? 0) * this.#share;
+    const granted = pool.lend(borrower, want, rate, now);
     const isServed = granted >= want.waiting;
     if (isServed) {
       return granted > 0
         ? { id: want.id, granted, pause: 0, expected: false }
         : undefined;
     }
-    const rate = (pool.account.quota?.rate ?? 0) * this.#share;
     const expected = this.#expectsParts(now);
     const pause = expected ? RETRY_REQUEST_MS : pool.promise(now, rate);
     return { id: want.id, granted, pause, expected };
--- a/src/plugins/quotas/token_pool.ts
+++ b/src/plugins/quotas/token_pool.ts
@@ -3,12 +3,14 @@
  *
  * @module
  */
-import type { LimitedAccount } from "./limited_accounts.ts";
+import { type LimitedAccount, STOCK_ALLOWANCE_MS } from "./limited_accounts.ts";
 import { TOKEN_LIFE_MS } from "./timing.ts";
-import { RateMeter, timeToAccrue, TokenBucket } from "./token_bucket.ts";
-
-/** Part of the tokens that one host may take for operations that are yet to come, so that the others find some too. */
-const STOCK_FRACTION = 0.25;
+import {
+  accrue,
+  RateMeter,
+  timeToAccrue,
+  TokenBucket,
+} from "./token_bucket.ts";
 
 /** Time over which the use of an account is averaged, in ms; a recurring shortage shows in it. */
 const USE_WINDOW_MS = 2_000;
@@ -43,6 +45,7 @@
   readonly #loans = new Map<string, Loan>();
   readonly #use = new RateMeter(USE_WINDOW_MS);
   #lent = 0;
+  #lentAt = -Infinity;
   /** Time until which the tokens to come are promised to hosts that found none. */
   #promisedUntil = 0;
 
@@ -61,6 +64,11 @@
     return this.#use.rate(now);
   }
 
+  /** Clock ms at which a token was lent last. */
+  get lentAt(): number {
+    return this.#lentAt;
+  }
+
   /** Adds what the rate has given since the last call, and ends loans that have expired meanwhile. */
   settle(now: number, rate: number, capacity: number): void {
     for (const [borrower, { amount, expiresAt }] of this.#loans) {
@@ -80,6 +88,13 @@
     this.#bucket.add(Math.min(amount, room));
   }
 
+  /** Removes a fraction of the tokens, for a part that goes; undefined if the pool is full, so that its fraction is as well. */
+  split(fraction: number, capacity: number): number | undefined {
+    const { level } = this.#bucket;
+    this.#bucket.remove(level * fraction);
+    return level < capacity ? level * fraction : undefined;
+  }
+
   /** Records how many of its tokens a host has left; it has used the others. */
   report(borrower: string, unused: number, now: number): void {
     const loan = this.#loans.get(borrower);
@@ -88,19 +103,26 @@
     this.#replaceLoan(borrower, amount, now);
   }
 
-  /** Lends tokens, first for operations that wait; returns their number. */
-  lend(borrower: string, { waiting, stock }: Need, now: number): number {
+  /** Lends tokens, first for operations that wait; `rate` is that of the parts that are here. Returns their number. */
+  lend(
+    borrower: string,
+    { waiting, stock }: Need,
+    rate: number,
+    now: number,
+  ): number {
     const level = Math.floor(this.#bucket.level);
     const urgent = Math.min(waiting, level);
     const spare = this.#promisedUntil > now ? 0 : Math.floor(
-      (this.#bucket.level - urgent) * STOCK_FRACTION,
+      accrue(rate, STOCK_ALLOWANCE_MS) - this.#lent - urgent,
     );
-    const granted = urgent + Math.min(stock, spare);
+    const granted = urgent +
+      Math.max(0, Math.min(stock, spare, level - urgent));
     if (granted === 0) return 0;
     this.#bucket.remove(granted);
     const held = this.#loans.get(borrower)?.amount ?? 0;
     this.#replaceLoan(borrower, held + granted, now);
     this.#use.add(granted, now);
+    this.#lentAt = now;
     return granted;
   }
 
