Let hosts use their parts of a limit again after all were killed

Cause: a host that had just started used its part of a limit only if the silent hosts could not count too few, which the asked host judged by the rows that it had seen in the last 135 s.

Change: a host writes among how many hosts it divides limits into its own row before it uses its part, and never divides by less; that number says what a silent host may use at most.

--- a/src/plugins/leadership/coordination.ts
+++ b/src/plugins/leadership/coordination.ts
@@ -41,9 +41,14 @@
   /** Availability zone; undefined in a row of an earlier release. */
   readonly zone?: string;
   /** Endpoint of the proxy's channels, `host:port`; undefined if it has none, as in a row of an earlier release. */
-  readonly channel?: string;
+  readonly channel?: string | undefined;
   /** Statements a second that the proxy can carry; undefined if it is not known. */
-  readonly weight?: number;
+  readonly weight?: number | undefined;
+  /**
+   * Least number of hosts among which the proxy divides limits that hold for all
+   * hosts together; undefined while it uses no part of them.
+   */
+  readonly parts?: number | undefined;
   /**
    * Time on the store's clock, in ms, at which another proxy found this one
    * unresponsive; the proxy must rewrite its row before it uses a primary
@@ -124,6 +129,8 @@
     group: string,
     record: AcknowledgementRecord,
   ): Promise<Result<void, WriteFailure>>;
+  /** Writes into this proxy's row among how many hosts it divides limits; `hosts` shows it once it is in force. */
+  recordParts(parts: number): void;
   /** Marks unresponsive proxies as absent. */
   markAbsent(
     names: readonly string[],
--- a/src/plugins/quotas/census.ts
+++ b/src/plugins/quotas/census.ts
@@ -19,7 +19,7 @@
 /** Age of the store's last confirmation up to which this host's rows tell who has registered, in ms. */
 const MAX_ROWS_AGE_MS = 10_000;
 
-const REFUSED: JoinAnswer = { joined: false, parts: 0, lowest: 0 };
+const REFUSED: JoinAnswer = { joined: false, parts: 0 };
 
 /** A host that waits for its answer. */
 interface Joiner {
@@ -87,16 +87,14 @@
       return REFUSED;
     }
     const parts = roster.size(now);
-    const lowest = roster.lowest(now);
-    // A host without channels runs an earlier release, which has no parts.
-    const silent =
-      [...rows.hosts()].filter(([name, { value }]) =>
-        name !== joiner.name && value.channel !== undefined &&
-        (this.#seen.get(name) ?? -1) < version
-      ).length;
-    // A silent host counts at least as many hosts as there were at any time since it may have heard of them last.
-    const excess = silent === 0 ? 0 : silent * (1 / lowest - 1 / parts);
-    return { joined: excess <= MAX_EXCESS, parts, lowest };
+    let excess = 0;
+    for (const [name, { value }] of rows.hosts()) {
+      const hasSeen = (this.#seen.get(name) ?? -1) >= version;
+      if (name === joiner.name || hasSeen) continue;
+      // A silent host divides by the number in its row, or counts all of these rows before it uses a part.
+      if (value.parts) excess += Math.max(0, 1 / value.parts - 1 / parts);
+    }
+    return { joined: excess <= MAX_EXCESS, parts };
   }
 
   /** Version of the row with which a host has registered; 0 if it is not known here. */
--- a/src/plugins/quotas/host_quotas.ts
+++ b/src/plugins/quotas/host_quotas.ts
@@ -54,7 +54,7 @@
     this.#options = options;
     const { network, rows } = options;
     const { proxy, endpoint } = network;
-    this.#roster = new Roster(proxy, endpoint, rows, network.now());
+    this.#roster = new Roster(proxy, endpoint, rows);
     this.#census = new Census({ rows, roster: this.#roster, network });
     this.#roster.refresh(network.now());
   }
@@ -245,8 +245,7 @@
     network.call(endpoint, MessageKinds.JOIN, body, (end) => {
       const result = parseJoinAnswer(end.body);
       if (result?.joined && this.#roster.mustJoin) {
-        const { parts, lowest } = result;
-        this.#roster.confirmJoin(parts, lowest, network.now());
+        this.#roster.confirmJoin(result.parts, network.now());
         // A part fills buckets from the moment at which the client knows of it.
         network.schedule(() => this.refresh(), JOIN_SETTLING_MS);
       }
--- a/src/plugins/quotas/messages.ts
+++ b/src/plugins/quotas/messages.ts
@@ -93,8 +93,6 @@
   readonly joined: boolean;
   /** Number of parts that the asked host counts. */
   readonly parts: number;
-  /** Least number of rows of the last time; 0 if unknown. */
-  readonly lowest: number;
 }
 
 /** Formats a request. */
@@ -194,15 +192,14 @@
 
 /** Formats the answer to a host that wants to join. */
 export function formatJoinAnswer(answer: JoinAnswer): unknown {
-  return [answer.joined ? 1 : 0, answer.parts, answer.lowest];
+  return [answer.joined ? 1 : 0, answer.parts];
 }
 
 /** Parses the answer to a host that wants to join; undefined if it has another form. */
 export function parseJoinAnswer(body: unknown): JoinAnswer | undefined {
   if (!Array.isArray(body)) return undefined;
-  const [joined, parts, lowest] = body;
-  if (!isAmount(parts) || !isAmount(lowest)) return undefined;
-  return { joined: joined === 1, parts, lowest };
+  const [joined, parts] = body;
+  return isAmount(parts) ? { joined: joined === 1, parts } : undefined;
 }
 
 /** Whether a value is the key of a shard. */
--- a/src/plugins/quotas/roster.ts
+++ b/src/plugins/quotas/roster.ts
@@ -11,13 +11,13 @@
  * @module
  */
 import type { Coordination } from "../leadership/coordination.ts";
-import { LowestCount } from "./lowest_count.ts";
 import { orderNames } from "./rendezvous.ts";
 import {
   DEPARTED_MS,
   JOIN_SETTLING_MS,
   PART_LEASE_MS,
-  UNCONFIRMED_JOIN_MS,
+  RECORD_RETRY_MS,
+  SHRUNK_MS,
 } from "./timing.ts";
 
 /**
@@ -27,10 +27,18 @@
  */
 const RESERVED_TOKENS = 16;
 
+/** Fraction of the recorded number of hosts below which the number is recorded anew: the rest of the limits is not worth a write. */
+const SHRUNK_FRACTION = 0.8;
+
 /** The rows of hosts. */
 export type HostRows = Pick<
   Coordination,
-  "incarnation" | "version" | "confirmedAt" | "hosts" | "liveHosts"
+  | "incarnation"
+  | "version"
+  | "confirmedAt"
+  | "hosts"
+  | "liveHosts"
+  | "recordParts"
 >;
 
 /** A host that can be called. */
@@ -45,7 +53,6 @@
   readonly #proxy: string;
   readonly #endpoint: string;
   readonly #rows: HostRows;
-  readonly #lowest: LowestCount;
   #live: unknown;
   #names: ReadonlySet<string> = new Set();
   /** Hosts whose rows have gone, with the clock ms until which they count. */
@@ -54,30 +61,34 @@
   readonly #orders = new Map<string, readonly Candidate[]>();
   readonly #reserved = new Map<string, ReadonlySet<string>>();
   #confirmedAt = -Infinity;
-  /** Clock ms since which this host's row is known here. */
-  #presentSince: number | undefined;
+  /** Whether this host's row is known here. */
+  #isPresent = false;
+  /** Number of hosts that this host's row says it counts. */
+  #recorded: number | undefined;
+  /** Clock ms at which that number was last written. */
+  #recordedAt = -Infinity;
+  /** Clock ms since which this host counts far fewer than its row says. */
+  #shrunkSince: number | undefined;
   #joinedAt = Infinity;
   /** Number of parts that another host counts, until the clock ms behind it. */
   #told = { parts: 0, until: 0 };
   #isLeaving = false;
 
-  constructor(proxy: string, endpoint: string, rows: HostRows, now: number) {
+  constructor(proxy: string, endpoint: string, rows: HostRows) {
     this.#proxy = proxy;
     this.#endpoint = endpoint;
     this.#rows = rows;
-    this.#lowest = new LowestCount(now);
   }
 
   /** Reads the rows again; returns whether the hosts have changed. */
   refresh(now: number): boolean {
     const rows = this.#rows;
-    this.#observeOwnRow(now);
+    this.#observeOwnRow();
+    this.#recordParts(now);
     const live = rows.liveHosts();
     const hosts = rows.hosts();
     if (live === this.#live && hosts.size === this.#names.size) return false;
     this.#live = live;
-    // Before this host has registered, the rows may not have been read.
-    if (this.#presentSince !== undefined) this.#lowest.record(hosts.size, now);
     for (const name of this.#names) {
       if (!hosts.has(name)) this.#departed.set(name, now + DEPARTED_MS);
     }
@@ -104,26 +115,25 @@
   /** Fraction of the limits that this host may use or delegate now. */
   share(now: number): number {
     if (this.#isLeaving || !this.hasJoined(now)) return 0;
-    return now < this.#confirmedAt + PART_LEASE_MS ? 1 / this.size(now) : 0;
+    if (now >= this.#confirmedAt + PART_LEASE_MS) return 0;
+    return 1 / Math.max(this.size(now), this.#recorded!);
   }
 
-  /** Whether the other hosts count this one, so that it has a part. */
+  /** Whether the other hosts count this one and its row says how many it counts, so that it has a part. */
   hasJoined(now: number): boolean {
-    if (this.#presentSince === undefined) return false;
-    return now >= this.#joinedAt ||
-      now >= this.#presentSince + UNCONFIRMED_JOIN_MS;
+    return this.#recorded !== undefined && now >= this.#joinedAt;
   }
 
   /** Whether the hosts must still be asked whether they count this one. */
   get mustJoin(): boolean {
-    return this.#presentSince !== undefined && this.#joinedAt === Infinity;
+    return this.#isPresent && this.#joinedAt === Infinity;
   }
 
   /** Records that all hosts that use parts count this one. */
-  confirmJoin(parts: number, lowest: number, now: number): void {
+  confirmJoin(parts: number, now: number): void {
     this.#joinedAt = now + JOIN_SETTLING_MS;
     this.#told = { parts, until: this.#joinedAt + DEPARTED_MS };
-    this.#lowest.inherit(lowest, now);
+    this.#recordParts(now);
   }
 
   /** Stops to use this host's part for good, before its row is removed. */
@@ -131,11 +141,6 @@
     this.#isLeaving = true;
   }
 
-  /** Least number of rows of the last minutes; 0 if unknown. */
-  lowest(now: number): number {
-    return this.#lowest.value(now);
-  }
-
   /** The live hosts that can be called. */
   get candidates(): readonly Candidate[] {
     return this.#candidates;
@@ -174,17 +179,33 @@
     return this.reserved(account).has(this.#proxy);
   }
 
-  #observeOwnRow(now: number): void {
+  #observeOwnRow(): void {
     const rows = this.#rows;
     const own = rows.hosts().get(this.#proxy)?.value;
-    if (own?.incarnation !== rows.incarnation) {
+    this.#isPresent = own?.incarnation === rows.incarnation;
+    if (!this.#isPresent) {
       // Removed by others, or replaced by a later run: the part belongs to nobody, or to that run.
-      this.#presentSince = undefined;
+      this.#recorded = undefined;
       this.#joinedAt = Infinity;
       this.#confirmedAt = -Infinity;
       return;
     }
-    this.#presentSince ??= now;
+    this.#recorded = own!.parts;
     this.#confirmedAt = Math.max(this.#confirmedAt, rows.confirmedAt);
   }
+
+  /** Lets this host's row say how many hosts it counts, before it uses its part for the first time, and again when it counts far fewer for a while. */
+  #recordParts(now: number): void {
+    if (!this.#isPresent || this.#joinedAt === Infinity) return;
+    const parts = this.size(now);
+    const recorded = this.#recorded;
+    const isShrunk = recorded !== undefined &&
+      parts < SHRUNK_FRACTION * recorded;
+    this.#shrunkSince = isShrunk ? this.#shrunkSince ?? now : undefined;
+    const isDue = recorded === undefined ||
+      (this.#shrunkSince !== undefined && now - this.#shrunkSince > SHRUNK_MS);
+    if (!isDue || now - this.#recordedAt < RECORD_RETRY_MS) return;
+    this.#recordedAt = now;
+    this.#rows.recordParts(parts);
+  }
 }
--- a/src/plugins/quotas/timing.ts
+++ b/src/plugins/quotas/timing.ts
@@ -53,8 +53,11 @@
  */
 export const PART_LEASE_MS = ROW_RETENTION_MS * 4 / 5;
 
-/** Time after its row has appeared for which a host waits for its part if others don't confirm that they count it, in ms: the lease and an eighth. */
-export const UNCONFIRMED_JOIN_MS = PART_LEASE_MS * 9 / 8;
+/** Time after which a host writes the number of hosts that it counts again, if its row doesn't show it, in ms. */
+export const RECORD_RETRY_MS = 2_000;
+
+/** Time for which a host counts far fewer hosts than its row says before it writes that, in ms: a rolling restart is over then. */
+export const SHRUNK_MS = 30_000;
 
 /** Time between the confirmation that all hosts count a new host and the use of its part, in ms: a delegation, the life of its tokens, and a margin. */
 export const JOIN_SETTLING_MS = DELEGATION_MS + TOKEN_LIFE_MS + 300;
--- a/test/platform/store_coordination_test.ts
+++ b/test/platform/store_coordination_test.ts
@@ -1,10 +1,8 @@
+import { COORDINATION_TABLE } from "../../platform/coordination_keys.ts";
 import { beforeEach, describe } from "node:test";
 import { expect } from "earl";
 import fc from "fast-check";
-import {
-  COORDINATION_TABLE,
-  StoreCoordination,
-} from "../../platform/store_coordination.ts";
+import { StoreCoordination } from "../../platform/store_coordination.ts";
 import { createEventLog } from "../../src/kernel/events.ts";
 import type { GroupRecord } from "../../src/plugins/leadership/coordination.ts";
 import { Rows } from "../../standins/metadata_store/rows.ts";
--- a/test/quotas_test.ts
+++ b/test/quotas_test.ts
@@ -373,6 +373,24 @@
     expect(refusedOf(later)).toEqual([]);
   });
 
+  // Guards against a host that is gone for good keeping all others, which have just restarted, from their parts.
+  it("serve within 5 s after all hosts but a lost one have restarted", () => {
+    const { cluster, names, start } = startCluster(26, {
+      a: { rate: 40, burst: 40 },
+    });
+    const [lost, ...others] = names;
+    cluster.kill(lost!);
+    cluster.markAbsent(lost!);
+    for (const name of others) cluster.start(name);
+    const pick = () => others[Math.floor(cluster.random() * others.length)];
+    cluster.load("a", 20, start + 15_000, pick, true);
+    cluster.runUntil(start + 16_000);
+    const later = cluster.outcomes.filter(({ askedAt }) =>
+      askedAt > start + 5_000
+    );
+    expect(refusedOf(later)).toEqual([]);
+  });
+
   // Guards against hosts that return without a part for minutes, since a host that died doesn't count them.
   it("serve an account through a rolling restart while the row of a dead host remains", () => {
     const { cluster, names, pick, start } = startCluster(12, {
