Test planned stops of holders and senders, and what is logged of holders

Cause: a stop has to be known before sessions end, and hosts that hold nothing should say nothing of it.

The first holders after a change of the rule are logged with that reason.

--- a/src/plugins/forwarding/holder_loads.ts
+++ b/src/plugins/forwarding/holder_loads.ts
@@ -26,9 +26,4 @@
     if (!last || clock.now() - last.at > LOAD_VALID_MS) return 0;
     return last.load;
   }
-
-  /** Forgets an instance that is gone. */
-  forget(instance: string): void {
-    this.#loads.delete(instance);
-  }
 }
--- a/src/plugins/forwarding/holder_service.ts
+++ b/src/plugins/forwarding/holder_service.ts
@@ -5,7 +5,6 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { clock } from "../../kernel/clock.ts";
-import { type EventLog, Events } from "../../kernel/events.ts";
 import type { ChannelPeer, PeerChannels } from "../channels/channels.ts";
 import type { LinkRequest } from "../connections/link_pools.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
@@ -64,7 +63,6 @@
   /** Idle time after which a sender ends its transactions, in ms; undefined while no configuration is known. */
   readonly transactionIdleTimeout: () => number | undefined;
   readonly counters: ForwardingCounters;
-  readonly log: EventLog;
 }
 
 /** Serves the proxies that forward work to this one. */
@@ -95,17 +93,13 @@
     );
   }
 
-  /** Refuses new work from now on and tells the connected senders; open transactions go on. */
-  announceStop(proxy: string): void {
+  /** Refuses new work from now on and tells the connected senders; open transactions go on. Returns the number of senders. */
+  announceStop(proxy: string): number {
     this.#isStopping = true;
     for (const peer of this.#senders.keys()) {
       peer.send(WorkKinds.STOPPING, [proxy]);
     }
-    this.#options.log.write(Events.HOLDER_STOPPING, {
-      senders: this.#senders.size,
-      transactions: this.#transactionCount(),
-      running: this.#running,
-    });
+    return this.#senders.size;
   }
 
   /** Waits until all work of other proxies has ended, until the deadline in monotonic ms. */
--- a/src/plugins/forwarding/holder_stop.ts
+++ b/src/plugins/forwarding/holder_stop.ts
@@ -39,11 +39,13 @@
    * the next change of shares; those in use when their work has ended.
    */
   drain(): Promise<void> {
-    const { proxy, channels, holders, service } = this.#options;
+    const { proxy, channels, holders, service, log } = this.#options;
     const held = holders.held();
     holders.stopping.add(proxy);
     holders.refresh();
-    service.announceStop(proxy);
+    const senders = service.announceStop(proxy);
+    if (held.length === 0 && senders === 0) return Promise.resolve();
+    log.write(Events.HOLDER_STOPPING, { instances: held.length, senders });
     // The successors may not be connected; all others learn it with their next request.
     const successors = new Set(
       held.flatMap((instance) => holders.order.holders(instance))
--- a/src/plugins/forwarding/holders.ts
+++ b/src/plugins/forwarding/holders.ts
@@ -123,6 +123,7 @@
     names: readonly string[],
   ): string {
     if (!before) return "first known";
+    if (before.length === 0) return "few hosts hold the connections for all";
     if (names.length === 0) return "each host has its own connections";
     const live = this.#options.coordination.liveHosts();
     for (const name of before) {
--- a/src/plugins/forwarding/plugin.ts
+++ b/src/plugins/forwarding/plugin.ts
@@ -135,7 +135,7 @@
     "localWork",
     "forwardingCounters",
   ],
-  create: ({ log, use }) => {
+  create: ({ use }) => {
     const routes = use("routes");
     return new HolderService({
       channels: use("channels"),
@@ -144,7 +144,6 @@
       work: use("localWork"),
       transactionIdleTimeout: () => routes.table?.transactionIdleTimeout,
       counters: use("forwardingCounters"),
-      log,
     });
   },
 });
--- a/test/platform/forwarding_test.ts
+++ b/test/platform/forwarding_test.ts
@@ -94,6 +94,43 @@
     });
     reader.close();
   });
+
+  // Guards against transactions that a release of the hosts, one after the other, breaks off.
+  it("let transactions end whose holder stops, or whose sender", async () => {
+    deployment = await Deployment.start({
+      ...FEW_CONNECTIONS,
+      // Enough for two transactions at a time.
+      connections: 20,
+      accounts: ["acme"],
+    });
+    const [holder] = await agreedHolders(deployment);
+    const senders = deployment.hosts.filter((host) => host !== holder);
+    const callers = await Promise.all(
+      senders.slice(0, 2).map((host) =>
+        deployment.open(deployment.hosts.indexOf(host), "booking", "key-acme")
+      ),
+    );
+    const runAll = async (statement: string) => {
+      const answers = await Promise.all(
+        callers.map((caller) => caller.run(statement)),
+      );
+      expect(answers.map(({ error }) => error)).toEqual([undefined, undefined]);
+    };
+    await runAll("BEGIN");
+    await runAll("WRITE before x");
+    holder!.signal("SIGTERM");
+    senders[0]!.signal("SIGTERM");
+    for (let turn = 0; turn < 3; turn += 1) {
+      await sleep(300);
+      await runAll(`WRITE during${turn} x`);
+    }
+    await runAll("COMMIT");
+    const { log } = await findMember(deployment);
+    expect(log.map(({ writes }) => writes.length)).toEqual([4, 4]);
+    for (const caller of callers) caller.close();
+    expect(await holder!.ended()).toEqual(0);
+    expect(await senders[0]!.ended()).toEqual(0);
+  });
 });
 
 describe("a holder that fails under load", () => {
