--- a/test/platform/forwarded_work_test.ts
+++ b/test/platform/forwarded_work_test.ts
@@ -81,6 +81,21 @@
     expect(sender.pools.outstanding(listed.id)).toEqual(0);
   });
 
+  // Guards against values that look the same on the way: JSON escapes one, so it goes as base64.
+  it("tells a value from the text that stands for it on the way", async (hosts) => {
+    const link = await hosts.acquire();
+    const deadline = clock.now() + PATIENCE_MS;
+    const first = "\u0001".repeat(99);
+    const second = Buffer.from(first, "latin1").toString("base64");
+    link.adopt(new Map([["k", first]]), undefined, deadline);
+    await link.begin({ readOnly: true }, deadline);
+    link.adopt(new Map([["k", second]]), undefined, deadline);
+    await link.run({ operation: text("READ 1") }, deadline);
+    expect(hosts.instance.ran.map(({ values }) => values))
+      .toEqual([`k=${first}`, `k=${second}`]);
+    link.destroy();
+  });
+
   it("is refused with the holder's reason, as not run", async (hosts) => {
     const { holder } = hosts;
     const failure = createFailure(ResultCodes.QUEUE_FULL, "retry in 40 ms");
--- a/test/platform/holder_faults_test.ts
+++ b/test/platform/holder_faults_test.ts
@@ -74,6 +74,40 @@
     expect(hosts.ranBy).toEqual(["a READ 0"]);
   });
 
+  it("by freezing refuses what waited in its queue or in a transaction meanwhile", async (hosts) => {
+    const { holder } = hosts;
+    const link = await hosts.acquire();
+    await link.begin({ readOnly: false }, clock.now() + PATIENCE_MS);
+    let grant = () => {};
+    holder.own.gate = new Promise((resolve) => grant = resolve);
+    void hosts.run("WRITE 1", { patience: 400 });
+    await sleep(20);
+    holder.channels.mode = "frozen";
+    void link.run({ operation: text("WRITE 2") }, clock.now() + 400);
+    await sleep(450);
+    grant();
+    holder.channels.mode = "up";
+    await sleep(50);
+    expect(hosts.ranBy).toEqual(["a BEGIN"]);
+  });
+
+  // Guards against locks of a transaction whose holder can't know that its sender is gone.
+  it("by a partition gets nothing more, and ends what it has when that is idle", async (hosts) => {
+    const { instance } = hosts;
+    const link = await hosts.acquire();
+    const deadline = clock.now() + PATIENCE_MS;
+    await link.begin({ readOnly: false }, deadline);
+    hosts.holder.channels.mode = "cut";
+    const lost = await link.run({ operation: text("WRITE 1") }, deadline);
+    expect(lost._unsafeUnwrapErr().holderLost).toEqual(true);
+    link.destroy();
+    await hosts.run("WRITE 2");
+    expect([instance.inUse, instance.open]).toEqual([1, 1]);
+    await sleep(4_000);
+    expect([instance.inUse, instance.open]).toEqual([0, 0]);
+    expect(hosts.ranBy).toEqual(["a BEGIN", "b WRITE 2", "a ROLLBACK"]);
+  });
+
   it("is not blamed for work that it refuses as not its own", async (hosts) => {
     const { sender } = hosts;
     const early = hosts.create("d", ["c", "a"]);
