--- a/src/plugins/forwarding/forwarded_link.ts
+++ b/src/plugins/forwarding/forwarded_link.ts
@@ -76,7 +76,7 @@
   readonly #context: ForwardingContext;
   readonly #request: LinkRequest;
   readonly #listed: ListedInstance;
-  readonly #waits = new ReplyWaits();
+  readonly #waits = new ReplyWaits(() => this.#checkIdle());
   /** The values of the session as of its next statement. */
   #values: ValueList = NO_VALUES;
   #transaction: Transaction | undefined;
@@ -156,8 +156,10 @@
     const { channel } = outcome;
     const result = readAnswer(outcome);
     if (outcome.kind === "lost") {
-      // It may be open there, or become so.
-      channels.send(channel, WorkKinds.END, writeEnd(number));
+      // It may be open there, or become so; it ends with the connection.
+      if (sender.holderTime(channel)) {
+        channels.send(channel, WorkKinds.END, writeEnd(number));
+      }
     } else if (result.isOk() && result.value.state === "open") {
       const { loads } = this.#context;
       const open = new RemoteTransaction({
@@ -256,7 +258,12 @@
   #closeTransaction(): void {
     if (!this.#transaction) return;
     this.#transaction = undefined;
-    if (this.#waits.size === 0) this.#context.onIdle(this);
+    this.#checkIdle();
+  }
+
+  #checkIdle(): void {
+    if (this.#transaction || this.#waits.size > 0) return;
+    this.#context.onIdle(this);
   }
 
   /** Rolls an open transaction back in the background. */
@@ -291,7 +298,7 @@
     deadline: number,
     write: (target: WorkTarget) => unknown,
   ): Promise<SendOutcome> {
-    const { sender, counters, onActive, onIdle } = this.#context;
+    const { sender, counters, onActive } = this.#context;
     onActive(this);
     this.lastUsedAt = clock.now();
     const work: OutgoingWork = {
@@ -303,7 +310,7 @@
     const outcome = kind === WorkKinds.COMMAND
       ? await sender.sendRepeatable(work, this.#waits)
       : await sender.send(work, this.#waits);
-    if (!this.#transaction && this.#waits.size === 0) onIdle(this);
+    this.#checkIdle();
     counters.countForwarded(classify(outcome));
     return outcome;
   }
--- a/src/plugins/forwarding/holder_service.ts
+++ b/src/plugins/forwarding/holder_service.ts
@@ -5,6 +5,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { clock } from "../../kernel/clock.ts";
+import { ResultCodes } from "../../kernel/result_codes.ts";
 import type { ChannelPeer, PeerChannels } from "../channels/channels.ts";
 import type { LinkRequest } from "../connections/link_pools.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
@@ -235,6 +236,9 @@
     result: Result<Answer, LinkLoss>,
     instance: string,
   ): Promise<unknown> {
+    const isStopped = result.isErr() &&
+      result.error.notSent?.code === ResultCodes.SHUTTING_DOWN;
+    if (isStopped) return this.#refuse("stopping");
     this.#options.counters.served += 1;
     // The sender has given up a statement without an answer; it learns when that can't run any more.
     const until = result.isErr() ? await result.error.over : undefined;
--- a/src/plugins/forwarding/local_transaction.ts
+++ b/src/plugins/forwarding/local_transaction.ts
@@ -4,10 +4,12 @@
  *
  * @module
  */
+import { err, type Result } from "neverthrow";
 import { clock } from "../../kernel/clock.ts";
 import type { ReleaseSlot } from "../connections/transaction_limit.ts";
 import type {
   Answer,
+  LinkLoss,
   LinkResult,
   LinkStatement,
   UpstreamLink,
@@ -55,6 +57,7 @@
     statement: LinkStatement,
     deadline: number,
   ): LinkResult<Answer> {
+    if (this.#hasEnded) return notOpen();
     const { link, observe } = this.#options;
     link.adopt(values, statement.operation, deadline);
     this.#running += 1;
@@ -72,6 +75,7 @@
 
   /** Rolls the transaction back, after the statements that were sent before. */
   async rollback(): LinkResult<Answer> {
+    if (this.#hasEnded) return notOpen();
     const { link } = this.#options;
     const result = await link.rollback(clock.now() + ROLLBACK_TIMEOUT_MS);
     const isIdle = result.isOk() && result.value.state === "idle";
@@ -87,3 +91,8 @@
     this.#options.leave();
   }
 }
+
+/** The connection has been given back, and may run another's work. */
+function notOpen(): Result<never, LinkLoss> {
+  return err({ reason: "the transaction is not open", silent: false });
+}
--- a/src/plugins/forwarding/reply_wait.ts
+++ b/src/plugins/forwarding/reply_wait.ts
@@ -44,6 +44,12 @@
 /** The waits of one link, which can be ended together. */
 export class ReplyWaits {
   readonly #aborts = new Set<(reason: string) => void>();
+  readonly #onEmpty: () => void;
+
+  /** `onEmpty` is called when the last wait has ended. */
+  constructor(onEmpty: () => void) {
+    this.#onEmpty = onEmpty;
+  }
 
   /** Number of calls that are waited for. */
   get size(): number {
@@ -64,8 +70,9 @@
     return new Promise((resolve) => {
       const finish = (outcome: CallOutcome) => {
         clearTimeout(timer);
-        this.#aborts.delete(abort);
+        const wasWaiting = this.#aborts.delete(abort);
         resolve(outcome);
+        if (wasWaiting && this.#aborts.size === 0) this.#onEmpty();
       };
       const lose = (reason: string, silent: boolean) => {
         const over = replied.then((reply) => mayRunUntil(reply, deadline));
--- a/test/platform/forwarded_work_test.ts
+++ b/test/platform/forwarded_work_test.ts
@@ -135,6 +135,26 @@
     expect(sender.pools.outstanding(listed.id)).toEqual(0);
   });
 
+  // Guards against work that counts as outstanding for good, and keeps reads away from the instance.
+  it("counts as outstanding only until it has ended, however it ends", async (hosts) => {
+    const { sender, holder, instance } = hosts;
+    instance.delay = 200;
+    const link = await hosts.acquire();
+    const deadline = clock.now() + PATIENCE_MS;
+    await link.begin({ readOnly: false }, deadline);
+    const running = link.run({ operation: text("WRITE 1") }, deadline);
+    await sleep(50);
+    const rolledBack = link.rollback(deadline);
+    expect(sender.pools.outstanding(listed.id)).toEqual(1);
+    await Promise.all([running, rolledBack]);
+    link.release();
+    await (await hosts.acquire()).status(clock.now() + 400);
+    holder.channels.mode = "frozen";
+    await (await hosts.acquire()).status(clock.now() + 400);
+    await sleep(5_000);
+    expect(sender.pools.outstanding(listed.id)).toEqual(0);
+  });
+
   it("shares status requests that come before one is sent, and no earlier one", async (hosts) => {
     const { instance } = hosts;
     instance.delay = 30;
--- a/test/run.ts
+++ b/test/run.ts
@@ -24,6 +24,8 @@
   "not_run_test.js",
   "failover_test.js",
   "platform/soak_test.js",
+  "platform/forwarding_primary_test.js",
+  "platform/forwarding_test.js",
   "planned_stop_test.js",
   "membership_test.js",
   "configuration_test.js",
