Test late answers and a lost answer through a holder

Cause: late answers and answers that a dying holder loses were tested in memory only.

Change: the stand-in delays its answers to callers, in order (order "delay/ID/MS"); a session behind a holder goes on once the late answer has come, and a write whose holder dies before it answers runs once, with an unknown outcome.

--- a/standins/line_group/connection.ts
+++ b/standins/line_group/connection.ts
@@ -37,6 +37,9 @@
   #plain = false;
   #writes: Write[] = [];
   #signed = 0;
+  /** Answers that are not sent yet, and the time in ms at which the last of them is. */
+  readonly #waiting: string[] = [];
+  #answersAt = 0;
 
   constructor(
     group: Group,
@@ -73,15 +76,23 @@
       ? `ERROR ${error} ${this.#member.id}\r\n`
       : `${out}COMPLETE ${this.#sign(id)}\r\n`;
     const position = this.#member.position(this.#member.applied);
-    this.#answer(`${end}READY ${this.#state} ${position}\r\n`);
+    const delay = id === "-" ? 0 : this.#member.delay;
+    this.#answer(`${end}READY ${this.#state} ${position}\r\n`, delay);
   }
 
-  /** Sends an answer after the time that the group's work takes. */
-  #answer(answer: string): void {
-    const time = this.#workTime + this.#member.delay;
-    // The lines were read as latin1, so each byte that a caller sent comes back as it was.
-    if (time === 0) return void this.#socket.write(answer, "latin1");
-    setTimeout(() => this.#socket.write(answer, "latin1"), time);
+  /** Sends an answer after the time that the group's work takes, and a delay in ms; not before the former ones. */
+  #answer(answer: string, delay: number): void {
+    const now = performance.now();
+    const time = this.#workTime + delay;
+    this.#answersAt = Math.max(this.#answersAt, now + time);
+    if (this.#answersAt <= now) return this.#send(answer);
+    this.#waiting.push(answer);
+    setTimeout(() => this.#send(this.#waiting.shift()!), this.#answersAt - now);
+  }
+
+  /** The lines were read as latin1, so each byte that a caller sent comes back as it was. */
+  #send(answer: string): void {
+    this.#socket.write(answer, "latin1");
   }
 
   #startup(
--- a/standins/line_group/group.ts
+++ b/standins/line_group/group.ts
@@ -65,7 +65,7 @@
   refused = 0;
   /** Most connections that were open at a time. */
   mostOpen = 0;
-  /** Time by which its answers come later, in ms. */
+  /** Time by which its answers to callers come later, in ms; it answers the proxies themselves at once. */
   delay = 0;
   /** The latest executions. */
   readonly executed: Execution[] = [];
--- a/test/platform/forwarding_test.ts
+++ b/test/platform/forwarding_test.ts
@@ -133,6 +133,49 @@
   });
 });
 
+describe("an instance that answers late", () => {
+  afterEach(() => deployment.stop());
+
+  /** A caller at a host that is not the holder, and the holder. */
+  async function openElsewhere() {
+    deployment = await Deployment.start(FEW_CONNECTIONS);
+    const [holder] = await agreedHolders(deployment);
+    const other = deployment.hosts.findIndex((host) => host !== holder);
+    const caller = await deployment.open(other, "booking");
+    await caller.run("WRITE first x");
+    return { caller, holder: holder! };
+  }
+
+  // Guards against sessions that are of no use for seconds after a slow statement.
+  it("lets the session go on as soon as the answer shows that nothing runs any more", async () => {
+    const { caller } = await openElsewhere();
+    await deployment.order("delay", "i-ledger-0/3500");
+    const late = await caller.run("WRITE late x", "late1");
+    expect(late.error).toEqual("UNKNOWN");
+    await deployment.order("delay", "i-ledger-0/0");
+    const startedAt = performance.now();
+    expect((await caller.run("SET k v")).error).toEqual(undefined);
+    expect(performance.now() - startedAt < 2_500).toEqual(true);
+    const { ran } = await findMember(deployment);
+    expect(ran.filter(({ id }) => id === "late1").length).toEqual(1);
+    caller.close();
+  });
+
+  it("through a holder that dies before it answers runs the write once, and its outcome is unknown", async () => {
+    const { caller, holder } = await openElsewhere();
+    await deployment.order("delay", "i-ledger-0/600");
+    const writing = caller.run("WRITE lost x", "lost1");
+    await sleep(300);
+    await holder.kill();
+    expect((await writing).error).toEqual("UNKNOWN");
+    await deployment.order("delay", "i-ledger-0/0");
+    expect((await caller.run("READ lost")).rows).toEqual(["x"]);
+    const { ran } = await findMember(deployment);
+    expect(ran.filter(({ id }) => id === "lost1").length).toEqual(1);
+    caller.close();
+  });
+});
+
 describe("a holder that fails under load", () => {
   afterEach(() => deployment.stop());
 
