Hash each host once, and give shared status requests their time

Cause: found in a review of the code: a status request that is shared had the time limit of the first that asked, so one with little time left failed the others; a position that can't be read was taken for none, so that a statement would have run without it; and at each change of a row all hosts' scores were hashed anew.

Change: the shared request has a limit of its own (1 s, the askers have theirs); an unreadable position makes a message malformed; scores are computed for the nearest hosts until there are two, and hashes are kept. StoreCoordination takes what its row says as one option.

--- a/src/plugins/forwarding/holder_order.ts
+++ b/src/plugins/forwarding/holder_order.ts
@@ -38,6 +38,7 @@
 const SAME_ZONE = 0;
 const SAME_REGION = 1;
 const ELSEWHERE = 2;
+const DISTANCES = [SAME_ZONE, SAME_REGION, ELSEWHERE];
 
 /** An order and what it was computed from. */
 interface Computed {
@@ -84,18 +85,17 @@
     const staying = able.filter(({ name }) => !stopping.has(name));
     // A host that stops is better than none.
     const candidates = staying.length > 0 ? staying : able;
-    return candidates
-      .map((host) => ({
-        host,
-        distance: this.#distance(host, zone),
-        score: scoreOf(id, host),
-      }))
-      .sort((a, b) =>
-        a.distance - b.distance || b.score - a.score ||
-        (a.host.name < b.host.name ? -1 : 1)
-      )
-      .slice(0, HOLDER_COUNT)
-      .map(({ host: { name, channel } }) => ({ name, channel: channel! }));
+    const holders: LiveHost[] = [];
+    for (const distance of DISTANCES) {
+      // Hashes take longer than the rest, so those of hosts that are too far away are left out.
+      if (holders.length >= HOLDER_COUNT) break;
+      const near = candidates.filter((host) =>
+        this.#distance(host, zone) === distance
+      );
+      holders.push(...sortByScore(id, near));
+    }
+    return holders.slice(0, HOLDER_COUNT)
+      .map(({ name, channel }) => ({ name, channel: channel! }));
   }
 
   #distance(host: LiveHost, zone: string): number {
@@ -108,13 +108,39 @@
   }
 }
 
+/** Sorts hosts by their scores for an instance, the highest first. */
+function sortByScore(
+  instance: string,
+  hosts: readonly LiveHost[],
+): readonly LiveHost[] {
+  return hosts
+    .map((host) => ({ host, score: scoreOf(instance, host) }))
+    .sort((a, b) => b.score - a.score || (a.host.name < b.host.name ? -1 : 1))
+    .map(({ host }) => host);
+}
+
 /** Number of bits of a hash that are used, so that it is a whole number in a double. */
 const HASH_BITS = 48;
 
+/** Number of hashes that are kept: those of all instances and hosts of a zone, many times over. */
+const HASH_CACHE_LIMIT = 20_000;
+
 /** Weighted rendezvous score: the host with the highest one is chosen with a probability proportional to its weight. */
 function scoreOf(instance: string, { name, weight }: LiveHost): number {
-  const digest = createHash("sha1").update(`${instance}\0${name}`).digest();
+  const fraction = fractionOf(`${instance}\0${name}`);
+  return (weight ?? DEFAULT_WEIGHT) / -Math.log(fraction);
+}
+
+const fractions = new Map<string, number>();
+
+/** A number between 0 and 1 that looks random and is the same for a key at all hosts. */
+function fractionOf(key: string): number {
+  const known = fractions.get(key);
+  if (known !== undefined) return known;
+  if (fractions.size >= HASH_CACHE_LIMIT) fractions.clear();
+  const digest = createHash("sha1").update(key).digest();
   const fraction = (digest.readUIntBE(0, HASH_BITS / 8) + 0.5) /
     2 ** HASH_BITS;
-  return (weight ?? DEFAULT_WEIGHT) / -Math.log(fraction);
+  fractions.set(key, fraction);
+  return fraction;
 }
--- a/src/plugins/forwarding/holder_service.ts
+++ b/src/plugins/forwarding/holder_service.ts
@@ -9,17 +9,17 @@
 import type { ChannelPeer, PeerChannels } from "../channels/channels.ts";
 import type { LinkRequest } from "../connections/link_pools.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
-import type { Answer, LinkLoss } from "../upstream/link.ts";
+import type {
+  Answer,
+  LinkLoss,
+  LinkResult,
+  LinkStatus,
+} from "../upstream/link.ts";
 import { sleep } from "../../utils/sleep.ts";
 import type { ForwardingCounters, WorkRefusal } from "./forwarding_counters.ts";
 import { HeldTransactions } from "./held_transactions.ts";
 import type { HolderShares } from "./holder_shares.ts";
-import {
-  late,
-  type LocalWork,
-  refused,
-  type WorkLimits,
-} from "./local_work.ts";
+import { late, type LocalWork, refused } from "./local_work.ts";
 import { SharedStatus } from "./shared_status.ts";
 import {
   type BeginRequest,
@@ -46,6 +46,9 @@
 /** Part of the remaining time that the margin takes at most. */
 const MAX_MARGIN_FRACTION = 0.25;
 
+/** Time limit of a status request, in ms; twice those of the requests that share it. */
+const STATUS_TIMEOUT_MS = 1_000;
+
 /** Interval between checks for idle transactions, in ms. */
 const IDLE_CHECK_INTERVAL_MS = 500;
 
@@ -208,16 +211,32 @@
     if (refusal) return this.#refuse(refusal);
     const { work, counters } = this.#options;
     const { instance, deadline } = target;
-    const request = createRequest(target);
-    const run = (limits: Partial<WorkLimits>) =>
-      work.command(request, command, { deadline, ...limits });
     const result = command.name === "status"
-      ? await this.#status.request(instance, (onBegun) => run({ onBegun }))
-      : await run({ isAbandoned: () => held.hasEnded });
+      ? await this.#requestStatus(instance, deadline)
+      : await work.command(createRequest(target), command, {
+        deadline,
+        isAbandoned: () => held.hasEnded,
+      });
     counters.served += 1;
     return writeStatus(result, work.outstanding(instance));
   }
 
+  /** The shared request has a time limit of its own, since others with more time may wait for it. */
+  async #requestStatus(
+    instance: string,
+    deadline: number,
+  ): LinkResult<LinkStatus> {
+    if (clock.now() >= deadline) return refused(late(instance));
+    return await this.#status.request(instance, (onBegun) => {
+      const until = clock.now() + STATUS_TIMEOUT_MS;
+      return this.#options.work.command(
+        { instance, priority: "high", deadline: until },
+        { name: "status" },
+        { deadline: until, onBegun },
+      );
+    });
+  }
+
   /** Why work for an instance is not accepted; undefined if it is. */
   #refusal({ instance, startedAt }: WorkTarget): WorkRefusal | undefined {
     if (this.#isStopping) return "stopping";
--- a/src/plugins/forwarding/work_messages.ts
+++ b/src/plugins/forwarding/work_messages.ts
@@ -277,10 +277,13 @@
   return position && formatPosition(position);
 }
 
-/** Reads a position, if there is one. */
+/** Reads a position, if there is one; throws if it is malformed, since a statement must not run without the position that it requires. */
 export function readPosition(fields: Fields): Position | undefined {
   const text = fields.optionalString();
-  return text === undefined ? undefined : parsePosition(text);
+  if (text === undefined) return undefined;
+  const position = parsePosition(text);
+  if (position) return position;
+  throw new Error("not a position");
 }
 
 function readList(fields: Fields): ValueList {
--- a/src/plugins/leadership/coordination.ts
+++ b/src/plugins/leadership/coordination.ts
@@ -41,9 +41,9 @@
   /** Availability zone; undefined in a row of an earlier release. */
   readonly zone?: string;
   /** Endpoint of the proxy's channels, `host:port`; undefined if it has none, as in a row of an earlier release. */
-  readonly channel?: string;
+  readonly channel?: string | undefined;
   /** Statements a second that the proxy can carry; undefined if it is not known. */
-  readonly weight?: number;
+  readonly weight?: number | undefined;
   /**
    * Time on the store's clock, in ms, at which another proxy found this one
    * unresponsive; the proxy must rewrite its row before it uses a primary
--- a/test/platform/store_coordination_test.ts
+++ b/test/platform/store_coordination_test.ts
@@ -74,10 +74,7 @@
   #create(): StoreCoordination {
     return new StoreCoordination({
       proxy: this.name,
-      zone: "zagreb-a",
-      address: `${this.name}:1`,
-      channel: `${this.name}:2`,
-      weight: 1_500,
+      row: { address: `${this.name}:1`, channel: `${this.name}:2`, weight: 7 },
       store: this.store,
       notices: {
         announce: () => {},
@@ -102,21 +99,18 @@
   it("tell a host's channels and weight, and are valid without", async () => {
     const proxy = new Proxy("a", rows);
     await proxy.register();
-    const row = { incarnation: "x", address: "b:1", zone: "zagreb-a" };
-    const values = { old: row, odd: { ...row, channel: 7, weight: -1 } };
-    rows.apply({
-      puts: Object.entries(values).map(([name, value]) => ({
-        table: COORDINATION_TABLE,
-        key: `host/${name}`,
-        value: Buffer.from(JSON.stringify(value)).toString("base64"),
-      })),
+    const old = { incarnation: "x", address: "b:1", zone: "zagreb-a" };
+    const odd = { ...old, channel: 7, weight: -1 };
+    await proxy.store.write({
+      table: COORDINATION_TABLE,
+      puts: { "host/old": old, "host/odd": odd },
     });
     await proxy.poll();
     const known = proxy.coordination.liveHosts()
       .map(({ name, channel, weight }) => [name, channel, weight])
       .toSorted();
     expect(known).toEqual([
-      ["a", "a:2", 1_500],
+      ["a", "a:2", 7],
       ["odd", undefined, undefined],
       ["old", undefined, undefined],
     ]);
