--- a/test/platform/forwarding_test.ts
+++ b/test/platform/forwarding_test.ts
@@ -94,6 +94,86 @@
     });
     reader.close();
   });
+
+  // Guards against transactions that a release of the hosts, one after the other, breaks off.
+  it("let transactions end whose holder stops, or whose sender", async () => {
+    deployment = await Deployment.start({
+      ...FEW_CONNECTIONS,
+      // Enough for two transactions at a time.
+      connections: 20,
+      accounts: ["acme"],
+    });
+    const [holder] = await agreedHolders(deployment);
+    const senders = deployment.hosts.filter((host) => host !== holder);
+    const callers = await Promise.all(
+      senders.slice(0, 2).map((host) =>
+        deployment.open(deployment.hosts.indexOf(host), "booking", "key-acme")
+      ),
+    );
+    const runAll = async (statement: string) => {
+      const answers = await Promise.all(
+        callers.map((caller) => caller.run(statement)),
+      );
+      expect(answers.map(({ error }) => error)).toEqual([undefined, undefined]);
+    };
+    await runAll("BEGIN");
+    await runAll("WRITE before x");
+    holder!.signal("SIGTERM");
+    senders[0]!.signal("SIGTERM");
+    for (let turn = 0; turn < 3; turn += 1) {
+      await sleep(300);
+      await runAll(`WRITE during${turn} x`);
+    }
+    await runAll("COMMIT");
+    const { log } = await findMember(deployment);
+    expect(log.map(({ writes }) => writes.length)).toEqual([4, 4]);
+    for (const caller of callers) caller.close();
+    expect(await holder!.ended()).toEqual(0);
+    expect(await senders[0]!.ended()).toEqual(0);
+  });
+});
+
+describe("an instance that answers late", () => {
+  afterEach(() => deployment.stop());
+
+  /** A caller at a host that is not the holder, and the holder. */
+  async function openElsewhere() {
+    deployment = await Deployment.start(FEW_CONNECTIONS);
+    const [holder] = await agreedHolders(deployment);
+    const other = deployment.hosts.findIndex((host) => host !== holder);
+    const caller = await deployment.open(other, "booking");
+    await caller.run("WRITE first x");
+    return { caller, holder: holder! };
+  }
+
+  // Guards against sessions that are of no use for seconds after a slow statement.
+  it("lets the session go on as soon as the answer shows that nothing runs any more", async () => {
+    const { caller } = await openElsewhere();
+    await deployment.order("delay", "i-ledger-0/3500");
+    const late = await caller.run("WRITE late x", "late1");
+    expect(late.error).toEqual("UNKNOWN");
+    await deployment.order("delay", "i-ledger-0/0");
+    const startedAt = performance.now();
+    expect((await caller.run("SET k v")).error).toEqual(undefined);
+    expect(performance.now() - startedAt < 2_500).toEqual(true);
+    const { ran } = await findMember(deployment);
+    expect(ran.filter(({ id }) => id === "late1").length).toEqual(1);
+    caller.close();
+  });
+
+  it("through a holder that dies before it answers runs the write once, and its outcome is unknown", async () => {
+    const { caller, holder } = await openElsewhere();
+    await deployment.order("delay", "i-ledger-0/600");
+    const writing = caller.run("WRITE lost x", "lost1");
+    await sleep(300);
+    await holder.kill();
+    expect((await writing).error).toEqual("UNKNOWN");
+    await deployment.order("delay", "i-ledger-0/0");
+    expect((await caller.run("READ lost")).rows).toEqual(["x"]);
+    const { ran } = await findMember(deployment);
+    expect(ran.filter(({ id }) => id === "lost1").length).toEqual(1);
+    caller.close();
+  });
 });
 
 describe("a holder that fails under load", () => {
