Lend tokens only on parts that outlive them

Change: a coordinator lends at most what the parts hold that it may use for as long as the tokens live; so a part is usable at its host when its delegation ends, without a wait of 400 ms, and a delegation may last 1,000 ms. Tokens that come late are dropped, stock is kept by coordinator, and a release is void once a later request carries the part.

Can be merged.

--- a/src/plugins/quotas/account_queue.ts
+++ b/src/plugins/quotas/account_queue.ts
@@ -53,14 +53,14 @@
   expiresAt: number;
 }
 
-const NO_STOCK: Stock = { lender: "", amount: 0, expiresAt: 0 };
-
 /** What a coordinator has answered about an account. */
 export interface Received {
   /** Names the run of the coordinator. */
   readonly lender: string;
   readonly want: Want;
   readonly granted: number;
+  /** Whether the tokens that are left live on. */
+  readonly extended: boolean;
   /** Clock ms at which the request was sent. */
   readonly requestedAt: number;
 }
@@ -79,9 +79,8 @@
   readonly #admitted = new RateMeter(DEMAND_WINDOW_MS);
   #account: LimitedAccount;
   #waiters: Waiter[] = [];
-  #stock: Stock = NO_STOCK;
-  /** Tokens of the coordinator before the present one; their life is not extended. */
-  #formerStock: Stock = NO_STOCK;
+  /** By coordinator; more than one only shortly after another one was chosen. */
+  #stocks: Stock[] = [];
   /** Tokens that the coordinator counts as lent to this host. */
   #borrowed = 0;
   /** Operations, and tokens for them and for the stock, that requests under way ask for. */
@@ -110,8 +109,7 @@
       quota?.rate === account.quota?.rate &&
       quota?.capacity === account.quota?.capacity
     ) return;
-    this.#stock = NO_STOCK;
-    this.#formerStock = NO_STOCK;
+    this.#stocks = [];
     this.#emptyUntil = 0;
   }
 
@@ -135,7 +133,7 @@
 
   /** Takes a token in stock for an operation; returns whether there was one. */
   take(now: number): boolean {
-    for (const stock of [this.#formerStock, this.#stock]) {
+    for (const stock of this.#stocks) {
       if (stock.amount < 1 || now >= stock.expiresAt) continue;
       stock.amount -= 1;
       return true;
@@ -209,10 +207,9 @@
 
   /** What to ask the coordinator for; undefined if nothing. */
   want(lender: string, now: number): Want | undefined {
-    const stock = this.#stock;
-    const isUsable = stock.lender === lender && now < stock.expiresAt;
+    const stock = this.#stockOf(lender, now);
     // What is under way may be here when the request arrives.
-    const unused = (isUsable ? stock.amount : 0) + this.#askedTokens;
+    const unused = (stock?.amount ?? 0) + this.#askedTokens;
     const waiting = now >= this.#askAt ? this.#unasked : 0;
     const missing = this.isEmpty(now)
       ? 0
@@ -241,31 +238,34 @@
 
   /** Whether tokens should be kept in stock, or those of the coordinator are to be reported. */
   needsRefresh(now: number): boolean {
-    return this.#borrowed > 0 || this.#stock.amount > 0 ||
-      this.#expected(now) > 0;
+    return this.#borrowed > 0 || this.#expected(now) > 0;
   }
 
   /** Whether the account had no operation for a while and holds nothing. */
   isIdle(now: number): boolean {
-    return this.#waiters.length === 0 && now >= this.#stock.expiresAt &&
-      this.#demand.rate(now) < NEGLIGIBLE_DEMAND;
+    return this.#waiters.length === 0 &&
+      this.#demand.rate(now) < NEGLIGIBLE_DEMAND &&
+      this.#stocks.every(({ expiresAt }) => expiresAt <= now);
   }
 
   /** Takes the tokens that a coordinator has given for a request; what was reported in it lives on as well. */
   receive(
-    { lender, want, granted, requestedAt }: Received,
+    { lender, want, granted, extended, requestedAt }: Received,
     now: number,
   ): void {
-    this.counts.granted += granted;
+    const expiresAt = requestedAt + TOKEN_LIFE_MS;
     this.#borrowed = want.unused + granted;
-    if (this.#stock.lender !== lender) {
-      this.#formerStock = this.#stock;
-      this.#stock = { lender, amount: 0, expiresAt: 0 };
+    // Tokens that come late are no longer counted as lent.
+    if (!extended || now >= expiresAt) return;
+    this.counts.granted += granted;
+    const stock = this.#stockOf(lender, now);
+    if (stock) {
+      stock.amount += granted;
+      stock.expiresAt = Math.max(stock.expiresAt, expiresAt);
+      return;
     }
-    const stock = this.#stock;
-    if (now >= stock.expiresAt) stock.amount = 0;
-    stock.amount += granted;
-    stock.expiresAt = Math.max(stock.expiresAt, requestedAt + TOKEN_LIFE_MS);
+    this.#stocks = this.#stocks.filter((other) => now < other.expiresAt);
+    this.#stocks.push({ lender, amount: granted, expiresAt });
   }
 
   /** Records that the coordinator expects tokens from other hosts. */
@@ -278,6 +278,12 @@
     this.#emptyUntil = now + pause;
   }
 
+  #stockOf(lender: string, now: number): Stock | undefined {
+    return this.#stocks.find((stock) =>
+      stock.lender === lender && now < stock.expiresAt
+    );
+  }
+
   /** Operations that are expected before the next but one request. */
   #expected(now: number): number {
     const rate = this.#demand.rate(now);
--- a/src/plugins/quotas/coordinator_link.ts
+++ b/src/plugins/quotas/coordinator_link.ts
@@ -203,13 +203,14 @@
     const lender = this.#lenderOf(coordinator);
     const now = network.now();
     if (!candidate || !lender || !this.part.isHeldBy(lender, now)) return;
+    const { delegations } = this.part;
     const ask = this.#formatAsk(coordinator, RELEASED, undefined, [], now);
     network.call(candidate.endpoint, MessageKinds.ASK, ask, ({ body }) => {
       const answer = parseAnswer(body);
       if (!answer?.handover || `${coordinator}/${answer.life}` !== lender) {
         return;
       }
-      this.part.release(lender, answer.handover, network.now());
+      this.part.release(lender, answer.handover, delegations, network.now());
       this.#onChange();
     });
   }
--- a/src/plugins/quotas/messages.ts
+++ b/src/plugins/quotas/messages.ts
@@ -24,6 +24,9 @@
 export const UNCHANGED = 0;
 export const RELEASED = -1;
 
+/** In place of a number of tokens: none, and those that the host has left don't live on. */
+const NOT_EXTENDED = -1;
+
 /** Shards that a message may name. */
 const MAX_SHARD_COUNT = 1_000;
 const SHARD_PATTERN = /^(\d{1,4}):(\d{1,4})$/;
@@ -61,6 +64,8 @@
 export interface Grant {
   readonly id: string;
   readonly granted: number;
+  /** Whether the tokens that the host has left live on; false only if none were granted. */
+  readonly extended: boolean;
   /** Time in ms after which the host may ask again for operations without a token. */
   readonly pause: number;
   /** Whether these operations should wait, since tokens are expected from other hosts. */
@@ -151,7 +156,9 @@
 /** Formats an answer. */
 export function formatAnswer(answer: Answer): unknown {
   const { life, successor, handover } = answer;
-  const grants = answer.grants.map(({ id, granted, pause, expected }) => {
+  const grants = answer.grants.map((grant) => {
+    const { id, extended, pause, expected } = grant;
+    const granted = extended ? grant.granted : NOT_EXTENDED;
     if (pause === 0) return [id, granted];
     return [id, granted, Math.ceil(pause) * (expected ? -1 : 1)];
   });
@@ -166,8 +173,16 @@
   if (!isText(life) || (successor !== 0 && !isText(successor))) return;
   const handover = handed === 0 ? undefined : parseHandover(handed);
   const grants = parseList(list, ([id, granted, pause = 0]) => {
-    if (!isText(id) || !isAmount(granted) || !Number.isFinite(pause)) return;
-    return { id, granted, pause: Math.abs(pause), expected: pause < 0 };
+    if (!isText(id) || !Number.isFinite(pause)) return undefined;
+    const extended = granted !== NOT_EXTENDED;
+    if (extended && !isAmount(granted)) return undefined;
+    return {
+      id,
+      granted: extended ? granted : 0,
+      extended,
+      pause: Math.abs(pause),
+      expected: pause < 0,
+    };
   });
   if (!grants) return undefined;
   return {
--- a/src/plugins/quotas/part.ts
+++ b/src/plugins/quotas/part.ts
@@ -41,13 +41,12 @@
   #share = 0;
   /** Time since which the part fills buckets here. */
   #since = 0;
-  /** Time from which tokens may be taken here: until then those of the last coordinator may be in use. */
+  /** Time from which tokens may be taken here: after a release, those that the coordinator has lent may be in use until then. */
   #usableAt = 0;
   /** The coordinator that may use the part now, and the last one that could. */
   #holder: string | undefined;
   #lastHolder: string | undefined;
   #heldUntil = 0;
-  /** Number of requests that carried the part. */
   #delegations = 0;
   /** Buckets of the accounts that were used here since the part came back. */
   #buckets = new Map<string, TokenBucket>();
@@ -84,7 +83,7 @@
 
   /** Time until which a coordinator may use the part, or its tokens may be in use. */
   get lockedUntil(): number {
-    return Math.max(this.#usableAt, this.#heldUntil + TOKEN_LIFE_MS);
+    return Math.max(this.#usableAt, this.#heldUntil);
   }
 
   /** Locks a new part until the delegations of the one that it replaces have ended. */
@@ -168,15 +167,31 @@
     return { handover: { elapsed, levels }, undo };
   }
 
-  /** Records that the coordinator has stopped to use the part, and what it gave back. */
-  release(coordinator: string, handover: Handover, now: number): void {
+  /** Number of requests that carried the part. */
+  get delegations(): number {
+    return this.#delegations;
+  }
+
+  /**
+   * Records that the coordinator has stopped to use the part, and what it gave
+   * back; unless more requests than `delegations` have carried it, since the
+   * coordinator may have it again.
+   */
+  release(
+    coordinator: string,
+    handover: Handover,
+    delegations: number,
+    now: number,
+  ): void {
     this.#takeBack(now);
     if (this.#holder !== coordinator) return;
+    if (this.#delegations !== delegations) return;
     this.#heldUntil = now;
     this.#takeBack(now);
-    this.#since = now - handover.elapsed;
+    this.#usableAt = now + TOKEN_LIFE_MS;
+    this.#since = this.#usableAt - handover.elapsed;
     for (const [id, level] of handover.levels) {
-      this.#buckets.set(id, new TokenBucket(level, now));
+      this.#buckets.set(id, new TokenBucket(level, this.#usableAt));
     }
   }
 
@@ -185,7 +200,6 @@
     if (!this.#holder || now < this.#heldUntil) return;
     this.#holder = undefined;
     this.#since = this.#heldUntil;
-    this.#usableAt = this.#heldUntil + TOKEN_LIFE_MS;
   }
 
   #levels(accounts: readonly LimitedAccount[], now: number) {
--- a/src/plugins/quotas/shard_client.ts
+++ b/src/plugins/quotas/shard_client.ts
@@ -29,6 +29,9 @@
  */
 const MAX_REQUESTS = 3;
 
+/** What is true of an account that an answer doesn't contain. */
+const UNCHANGED = { granted: 0, extended: true };
+
 /** Stands for an operation that has to wait for its decision. */
 export const WAITS = Symbol("waits");
 
@@ -266,8 +269,8 @@
     const grants = new Map(answer.grants.map((grant) => [grant.id, grant]));
     for (const [queue, want] of wants) {
       const grant = grants.get(want.id);
-      const granted = grant?.granted ?? 0;
-      queue.receive({ lender, want, granted, requestedAt }, now);
+      const { granted, extended } = grant ?? UNCHANGED;
+      queue.receive({ lender, want, granted, extended, requestedAt }, now);
       queue.serve(now, () => this.#take(queue, now));
       if (grant && grant.pause > 0) this.#pause(queue, grant, now);
     }
--- a/src/plugins/quotas/shard_coordinator.ts
+++ b/src/plugins/quotas/shard_coordinator.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import { DelegatedParts } from "./delegated_parts.ts";
 import type { LimitedAccount } from "./limited_accounts.ts";
 import {
   type Answer,
@@ -15,7 +16,7 @@
   UNCHANGED,
   type Want,
 } from "./messages.ts";
-import { type Handover, partCapacity } from "./part.ts";
+import type { Handover } from "./part.ts";
 import { DELEGATION_MS, RETRY_REQUEST_MS, SETTLING_MS } from "./timing.ts";
 import { accrue } from "./token_bucket.ts";
 import { TokenPool } from "./token_pool.ts";
@@ -44,6 +45,8 @@
 /** Time in ms that stands for a full part; the highest burst at the lowest rate takes longer, and is given back in part. */
 const FULL_MS = 3_600_000;
 
+const NO_GRANT = { granted: 0, extended: false };
+
 /** What a coordinator asks about the other hosts. */
 export interface Surroundings {
   /** Hosts that an account's reserved tokens belong to. */
@@ -54,12 +57,6 @@
   requestParts(): boolean;
 }
 
-/** A host whose part is delegated to this coordinator. */
-interface Member {
-  readonly share: number;
-  readonly expiresAt: number;
-}
-
 /** A run of a host's process that has sent requests. */
 interface Borrower {
   readonly sequence: number;
@@ -71,14 +68,12 @@
   /** Identifies the run of this process in answers. */
   readonly #life: string;
   readonly #surroundings: Surroundings;
-  readonly #members = new Map<string, Member>();
+  readonly #parts: DelegatedParts;
   readonly #borrowers = new Map<string, Borrower>();
   /** When each host last wanted tokens. */
   readonly #workedAt = new Map<string, number>();
   /** By account id. */
   readonly #pools = new Map<string, TokenPool>();
-  #share = 0;
-  #nextExpiry = Infinity;
   #settlingUntil: number;
   #askedAt: number;
   /** Host that coordinates the shard from now on, as far as hosts reach it. */
@@ -92,21 +87,18 @@
   ) {
     this.#life = life;
     this.#surroundings = surroundings;
+    this.#parts = new DelegatedParts((account) =>
+      surroundings.reserved(account)
+    );
     this.#settlingUntil = now + START_SETTLING_MS;
     this.#askedAt = now;
     this.setAccounts(accounts, now);
   }
 
-  /** Sum of the shares that are delegated. */
-  share(now: number): number {
-    this.#expire(now);
-    return this.#share;
-  }
-
   /** Names of the hosts whose parts are delegated. */
   members(now: number): ReadonlySet<string> {
     this.#expire(now);
-    return new Set(this.#members.keys());
+    return new Set(this.#parts.hosts);
   }
 
   /** Clock ms of the last request. */
@@ -127,7 +119,6 @@
       if (pool) pool.account = account;
       else this.#pools.set(account.id, new TokenPool(account, now));
     }
-    this.#settleAll(now);
   }
 
   /** Answers a request of a host; undefined if it has sent a later one. */
@@ -144,7 +135,7 @@
       const handover = this.#release(host, now);
       return { life: this.#life, successor, grants: [], handover };
     }
-    if (ask.parts !== UNCHANGED) this.#updateMember(host, ask, now);
+    if (ask.parts !== UNCHANGED) this.#receivePart(host, ask, now);
     if (ask.wants.length > 0) this.#workedAt.set(host, now);
     const grants = ask.wants.flatMap((want) => {
       const grant = this.#grant(borrower, want, now);
@@ -184,35 +175,33 @@
     }
   }
 
-  #updateMember(host: string, ask: Ask, now: number): void {
-    const present = this.#members.get(host);
+  #receivePart(host: string, ask: Ask, now: number): void {
     // A stamp of an earlier run of this process says nothing about this one's clock.
     if (ask.coordinatorLife !== this.#life || ask.sentAt > now) return;
     const expiresAt = ask.sentAt + DELEGATION_MS;
     if (expiresAt <= now) return;
+    const isNew = this.#parts.get(host) === undefined;
     const share = 1 / Math.max(1, ask.parts);
-    if (present?.share === share) {
-      this.#members.set(host, { share, expiresAt });
-      return;
-    }
-    this.#setMember(host, { share, expiresAt }, now);
-    if (present) return;
+    this.#settleAll(now);
+    this.#parts.set(host, { share, expiresAt });
+    if (!isNew) return;
     this.#settlingUntil = Math.max(this.#settlingUntil, now + SETTLING_MS);
     if (ask.handover) this.#credit(host, share, ask.handover);
   }
 
   /** Gives a host its part back, with its fraction of the tokens that are not lent. */
   #release(host: string, now: number): Handover {
-    const member = this.#members.get(host);
-    if (!member) return { elapsed: 0, levels: [] };
+    const part = this.#parts.get(host);
+    if (!part) return { elapsed: 0, levels: [] };
     this.#settleAll(now);
-    const fraction = member.share / this.#share;
+    const fraction = part.share / this.#parts.share;
     const levels: [string, number][] = [];
     for (const [id, pool] of this.#pools) {
-      const level = pool.split(fraction, this.#capacity(pool.account));
+      const capacity = this.#parts.capacity(pool.account);
+      const level = pool.split(fraction, capacity);
       if (level !== undefined) levels.push([id, level]);
     }
-    this.#setMember(host, undefined, now);
+    this.#parts.set(host, undefined);
     return { elapsed: FULL_MS, levels };
   }
 
@@ -223,44 +212,36 @@
       const { account } = pool;
       const collected = levels.get(account.id) ??
         accrue((account.quota?.rate ?? 0) * share, handover.elapsed);
-      if (collected === 0) continue;
-      const ownCapacity = this.#isReserved(account, share, host)
-        ? partCapacity(account, share, true)
-        : partCapacity(account, share, false);
-      pool.credit(Math.min(collected, ownCapacity), this.#capacity(account));
+      const amount = Math.min(collected, this.#parts.capacityAt(account, host));
+      if (amount > 0) pool.credit(amount, this.#parts.capacity(account));
     }
   }
 
   #grant(borrower: string, want: Want, now: number): Grant | undefined {
-    const pool = this.#pools.get(want.id);
+    const { id } = want;
+    const pool = this.#pools.get(id);
     if (!pool) {
       // This host does not know the account yet, or no longer.
-      return {
-        id: want.id,
-        granted: 0,
-        pause: UNKNOWN_PAUSE_MS,
-        expected: true,
-      };
+      return { ...NO_GRANT, id, pause: UNKNOWN_PAUSE_MS, expected: true };
     }
     this.#settle(pool, now);
-    pool.report(borrower, want.unused, now);
-    const rate = (pool.account.quota?.rate ?? 0) * this.#share;
-    const granted = pool.lend(borrower, want, rate, now);
+    const rate = (pool.account.quota?.rate ?? 0) * this.#parts.share;
+    const lendable = this.#parts.lendable(pool.account, now);
+    const isExtended = pool.report(borrower, want.unused, lendable, now);
+    const granted = pool.lend(borrower, want, { rate, lendable }, now);
+    const extended = isExtended || granted > 0;
     const isServed = granted >= want.waiting;
-    if (isServed) {
-      return granted > 0
-        ? { id: want.id, granted, pause: 0, expected: false }
-        : undefined;
-    }
+    if (isServed && extended && granted === 0) return undefined;
+    if (isServed) return { id, granted, extended, pause: 0, expected: false };
     const expected = this.#expectsParts(now);
     const pause = expected ? RETRY_REQUEST_MS : pool.promise(now, rate);
-    return { id: want.id, granted, pause, expected };
+    return { id, granted, extended, pause, expected };
   }
 
   /** Whether more parts are under way, so that an operation without a token should wait. */
   #expectsParts(now: number): boolean {
     const { liveShare, requestParts } = this.#surroundings;
-    if (this.#share >= liveShare() * COMPLETE_FRACTION) return false;
+    if (this.#parts.share >= liveShare() * COMPLETE_FRACTION) return false;
     if (requestParts()) {
       this.#settlingUntil = Math.max(this.#settlingUntil, now + SETTLING_MS);
     }
@@ -269,62 +250,30 @@
 
   /** Ends the delegations that have expired, each at its time. */
   #expire(now: number): void {
-    while (this.#nextExpiry <= now) {
-      let first: string | undefined;
-      let expiry = Infinity;
-      for (const [host, { expiresAt }] of this.#members) {
-        if (expiresAt >= expiry) continue;
-        first = host;
-        expiry = expiresAt;
-      }
-      this.#nextExpiry = expiry;
-      if (expiry <= now) this.#setMember(first!, undefined, expiry);
+    for (;;) {
+      const host = this.#parts.findExpired(now);
+      if (host === undefined) return;
+      this.#settleAll(this.#parts.get(host)!.expiresAt);
+      this.#parts.set(host, undefined);
     }
   }
 
-  #setMember(host: string, member: Member | undefined, now: number): void {
-    this.#settleAll(now);
-    if (member) this.#members.set(host, member);
-    else this.#members.delete(host);
-    this.#share = 0;
-    for (const { share } of this.#members.values()) this.#share += share;
-    if (member) {
-      this.#nextExpiry = Math.min(this.#nextExpiry, member.expiresAt);
-    }
-    // Tokens that the parts left can't hold must not come back with a later delegation.
-    this.#settleAll(now);
-  }
-
+  /** To be called before the parts or the limits change, and before a pool is used. */
   #settleAll(now: number): void {
     for (const pool of this.#pools.values()) this.#settle(pool, now);
   }
 
   #settle(pool: TokenPool, now: number): void {
     const { account } = pool;
-    const rate = (account.quota?.rate ?? 0) * this.#share;
-    pool.settle(now, rate, this.#capacity(account));
-  }
-
-  #capacity(account: LimitedAccount): number {
-    const capacity = partCapacity(account, this.#share, false);
-    if (capacity >= 1 || this.#share === 0) return capacity;
-    const reserved = this.#surroundings.reserved(account.name);
-    for (const host of this.#members.keys()) {
-      if (reserved.has(host)) return partCapacity(account, this.#share, true);
-    }
-    return capacity;
-  }
-
-  #isReserved(account: LimitedAccount, share: number, host: string): boolean {
-    return partCapacity(account, share, false) < 1 &&
-      this.#surroundings.reserved(account.name).has(host);
+    const rate = (account.quota?.rate ?? 0) * this.#parts.share;
+    pool.settle(now, rate, this.#parts.capacity(account));
   }
 
   #workingShare(now: number): number {
     let sum = 0;
-    for (const [host, { share }] of this.#members) {
+    for (const host of this.#parts.hosts) {
       const workedAt = this.#workedAt.get(host) ?? -Infinity;
-      if (workedAt > now - WORK_MS) sum += share;
+      if (workedAt > now - WORK_MS) sum += this.#parts.get(host)!.share;
     }
     return sum;
   }
--- a/src/plugins/quotas/shard_duty.ts
+++ b/src/plugins/quotas/shard_duty.ts
@@ -21,7 +21,10 @@
 /** Time in ms between two requests to an idle host for its part: an answer takes less. */
 const WAKE_INTERVAL_MS = 500;
 
-/** The same after so many requests without effect: the host is away. */
+/** Time in ms in which shortages lead to one look for hosts to ask; a look costs time in proportion to the hosts. */
+const REQUEST_INTERVAL_MS = 50;
+
+/** Time in ms between two requests to a host after so many without effect: the host is away. */
 const FUTILE_WAKES = 3;
 const FUTILE_WAKE_INTERVAL_MS = 5_000;
 
@@ -53,6 +56,7 @@
   readonly #coordinator: ShardCoordinator;
   readonly #wakes = new Map<string, WakeRecord>();
   #wokenUntil = -Infinity;
+  #requestedAt = -Infinity;
   #checks = 0;
   #isLeaving = false;
   #cancelTimer: (() => void) | undefined;
@@ -126,6 +130,8 @@
 
   /** Asks the hosts whose parts are not here for them, since an account is short of tokens; returns whether any is likely to come. */
   #requestParts(now: number): boolean {
+    if (now < this.#requestedAt + REQUEST_INTERVAL_MS) return false;
+    this.#requestedAt = now;
     return this.#wake(this.#coordinator.members(now), FIRST_WAKE_MS, now);
   }
 
@@ -136,9 +142,11 @@
     now: number,
   ): boolean {
     const { shard, life, network, roster } = this.#options;
+    const members = this.#coordinator.members(now);
     let isHopeful = false;
     for (const { name, endpoint } of roster.candidates) {
-      if (except.has(name) || !this.#mayWake(name, now)) continue;
+      if (except.has(name)) continue;
+      if (!this.#mayWake(name, members.has(name), now)) continue;
       isHopeful ||= this.#wakes.get(name)!.futile < FUTILE_WAKES;
       const wake = { shard, life, stamp: now, duration };
       network.send(endpoint, MessageKinds.WAKE, formatWake(wake));
@@ -148,14 +156,13 @@
     return true;
   }
 
-  #mayWake(name: string, now: number): boolean {
+  #mayWake(name: string, isMember: boolean, now: number): boolean {
     const { at = -Infinity, futile = 0 } = this.#wakes.get(name) ?? {};
     const interval = futile < FUTILE_WAKES
       ? WAKE_INTERVAL_MS
       : FUTILE_WAKE_INTERVAL_MS;
     if (now < at + interval) return false;
-    const isHere = this.#coordinator.members(now).has(name);
-    this.#wakes.set(name, { at: now, futile: isHere ? 0 : futile + 1 });
+    this.#wakes.set(name, { at: now, futile: isMember ? 0 : futile + 1 });
     return true;
   }
 
--- a/src/plugins/quotas/timing.ts
+++ b/src/plugins/quotas/timing.ts
@@ -8,10 +8,11 @@
 
 /**
  * Time for which a coordinator may use a host's part after the host has sent a
- * request, in ms: two renewals and 100 ms of delay. Together with the next two
- * times it bounds the wait after the loss of a coordinator (1,550 ms).
+ * request, in ms. It lends tokens only on parts that it may use for as long as
+ * the tokens live, so this is a token's life, a renewal, and 250 ms of delays. A
+ * host is without its part for this time after the loss of its coordinator.
  */
-export const DELEGATION_MS = 800;
+export const DELEGATION_MS = 1_000;
 
 /** Time for which a token may be used after the host has asked for it, in ms: a refresh and the slowest usual answer. */
 export const TOKEN_LIFE_MS = 400;
@@ -56,8 +57,8 @@
 /** Time after its row has appeared for which a host waits for its part if others don't confirm that they count it, in ms: the lease and an eighth. */
 export const UNCONFIRMED_JOIN_MS = PART_LEASE_MS * 9 / 8;
 
-/** Time between the confirmation that all hosts count a new host and the use of its part, in ms: a delegation, the life of its tokens, and a margin. */
-export const JOIN_SETTLING_MS = DELEGATION_MS + TOKEN_LIFE_MS + 300;
+/** Time between the confirmation that all hosts count a new host and the use of its part, in ms: a delegation and a half, since others may have been delegated before they counted it. */
+export const JOIN_SETTLING_MS = DELEGATION_MS * 3 / 2;
 
 /** Interval of the attempts to join, in ms. */
 export const JOIN_RETRY_MS = 500;
--- a/src/plugins/quotas/token_pool.ts
+++ b/src/plugins/quotas/token_pool.ts
@@ -33,6 +33,14 @@
   readonly stock: number;
 }
 
+/** The parts behind the tokens. */
+export interface Backing {
+  /** Tokens that they give in a second. */
+  readonly rate: number;
+  /** Most tokens that may be lent, those that are lent already included. */
+  readonly lendable: number;
+}
+
 /**
  * Tokens of an account that the delegated parts give. Tokens here and tokens lent
  * to hosts never exceed the capacity together, so that a pause of the demand
@@ -95,22 +103,38 @@
     return level < capacity ? level * fraction : undefined;
   }
 
-  /** Records how many of its tokens a host has left; it has used the others. */
-  report(borrower: string, unused: number, now: number): void {
+  /**
+   * Records how many of its tokens a host has left; it has used the others. Those
+   * left live on if they may be lent now; returns whether they do.
+   */
+  report(
+    borrower: string,
+    unused: number,
+    lendable: number,
+    now: number,
+  ): boolean {
     const loan = this.#loans.get(borrower);
-    if (!loan) return;
+    if (!loan) return unused === 0;
     const amount = Math.min(loan.amount, unused);
-    this.#replaceLoan(borrower, amount, now);
+    this.#lent += amount - loan.amount;
+    if (amount > 0 && this.#lent > lendable) {
+      // Replaced in its place in the order of expiry.
+      this.#loans.set(borrower, { amount, expiresAt: loan.expiresAt });
+      return false;
+    }
+    this.#setLoan(borrower, amount, now);
+    return true;
   }
 
-  /** Lends tokens, first for operations that wait; `rate` is that of the parts that are here. Returns their number. */
+  /** Lends tokens, first for operations that wait; returns their number. */
   lend(
     borrower: string,
     { waiting, stock }: Need,
-    rate: number,
+    { rate, lendable }: Backing,
     now: number,
   ): number {
-    const level = Math.floor(this.#bucket.level);
+    const free = Math.max(0, lendable - this.#lent);
+    const level = Math.floor(Math.min(this.#bucket.level, free));
     const urgent = Math.min(waiting, level);
     const spare = this.#promisedUntil > now ? 0 : Math.floor(
       accrue(rate, STOCK_ALLOWANCE_MS) - this.#lent - urgent,
@@ -120,7 +144,8 @@
     if (granted === 0) return 0;
     this.#bucket.remove(granted);
     const held = this.#loans.get(borrower)?.amount ?? 0;
-    this.#replaceLoan(borrower, held + granted, now);
+    this.#lent += granted;
+    this.#setLoan(borrower, held + granted, now);
     this.#use.add(granted, now);
     this.#lentAt = now;
     return granted;
@@ -141,8 +166,7 @@
     this.#bucket.refill(now, rate, Math.max(0, capacity - this.#lent));
   }
 
-  #replaceLoan(borrower: string, amount: number, now: number): void {
-    this.#lent += amount - (this.#loans.get(borrower)?.amount ?? 0);
+  #setLoan(borrower: string, amount: number, now: number): void {
     this.#loans.delete(borrower);
     if (amount === 0) return;
     this.#loans.set(borrower, { amount, expiresAt: now + TOKEN_LIFE_MS });
