--- a/src/plugins/metrics/metrics_server.ts
+++ b/src/plugins/metrics/metrics_server.ts
@@ -11,10 +11,14 @@
   type ServerAddress,
   tryListen,
 } from "../../utils/http_server.ts";
+import type { AccountUsage } from "../quotas/quotas.ts";
 import type { RequestCounters } from "./request_counters.ts";
 
 const QUANTILES: readonly number[] = [0.5, 0.9, 0.99, 0.999];
 
+/** Accounts with samples of their own; bounds the size of the page. */
+const MAX_ACCOUNTS = 50;
+
 /** Sources of the exported metrics. */
 export interface MetricsSources {
   readonly requests: RequestCounters;
@@ -27,6 +31,8 @@
   readonly storeConfirmationAge: () => number;
   /** Number of log lines dropped because of a slow reader. */
   readonly droppedLogLines: () => number;
+  /** Counts of the accounts with most operations, at most `limit` of them. */
+  readonly accounts?: (limit: number) => readonly AccountUsage[];
 }
 
 /** Values of labels by name. */
@@ -102,6 +108,12 @@
       addSample("connections_share", labels, usage.share);
       addSample("connections_opened_total", labels, usage.opened);
     }
+    for (const usage of this.#sources.accounts?.(MAX_ACCOUNTS) ?? []) {
+      const labels = { account: usage.account };
+      addSample("quota_granted_total", labels, usage.granted);
+      addSample("quota_used_total", labels, usage.used);
+      addSample("quota_refused_total", labels, usage.refused);
+    }
     addSample("callers", {}, this.#sources.callers());
     addSample(
       "configuration_version",
--- a/src/plugins/quotas/account_queue.ts
+++ b/src/plugins/quotas/account_queue.ts
@@ -79,6 +79,8 @@
   readonly #admitted = new RateMeter(DEMAND_WINDOW_MS);
   #account: LimitedAccount;
   #waiters: Waiter[] = [];
+  /** No decision is due before this clock ms. */
+  #decideBy = Infinity;
   /** By coordinator; more than one only shortly after another one was chosen. */
   #stocks: Stock[] = [];
   /** Tokens that the coordinator counts as lent to this host. */
@@ -150,6 +152,7 @@
   /** Adds an operation that waits for a token. */
   enqueue(settle: Settle, decideBy: number): void {
     this.#waiters.push({ settle, decideBy });
+    this.#decideBy = Math.min(this.#decideBy, decideBy);
   }
 
   /** Admits waiting operations in order, as long as `takeToken` finds tokens. */
@@ -162,9 +165,13 @@
 
   /** Refuses the waiting operations that have to be decided now; returns their number. */
   expire(now: number, share: number): number {
+    if (now < this.#decideBy) return 0;
     const due = this.#waiters.filter(({ decideBy }) => decideBy <= now);
-    if (due.length === 0) return 0;
     this.#waiters = this.#waiters.filter(({ decideBy }) => decideBy > now);
+    this.#decideBy = Math.min(
+      Infinity,
+      ...this.#waiters.map(({ decideBy }) => decideBy),
+    );
     for (const { settle } of due) settle(this.refuse(now, share));
     return due.length;
   }
@@ -173,16 +180,14 @@
   refuseAll(now: number, share: number): number {
     const waiters = this.#waiters;
     this.#waiters = [];
+    this.#decideBy = Infinity;
     for (const { settle } of waiters) settle(this.refuse(now, share));
     return waiters.length;
   }
 
-  /** Clock ms of the first decision that is due; Infinity if none waits. */
+  /** Clock ms before which no decision is due; Infinity if none waits. */
   get decideBy(): number {
-    return this.#waiters.reduce(
-      (first, { decideBy }) => Math.min(first, decideBy),
-      Infinity,
-    );
+    return this.#waiters.length > 0 ? this.#decideBy : Infinity;
   }
 
   /** Creates the failure of a refused operation. Operations are told to return one by one, at the pace at which this host gets tokens. */
--- a/src/plugins/quotas/census.ts
+++ b/src/plugins/quotas/census.ts
@@ -11,7 +11,7 @@
 
 /**
  * Sum by which the parts may exceed the limits because silent hosts count fewer
- * hosts; taken from the allowance of a tenth, of which the stock takes 4 to 8
+ * hosts; taken from the allowance of a tenth, of which the stock takes up to 4
  * hundredths.
  */
 const MAX_EXCESS = 0.04;
--- a/src/plugins/quotas/coordinator_link.ts
+++ b/src/plugins/quotas/coordinator_link.ts
@@ -69,7 +69,11 @@
   choose(now: number): "known" | "searching" | "none" {
     this.#search.choose(now);
     if (this.#search.target) return "known";
-    return this.#search.isSearching ? "searching" : "none";
+    // Before this host has registered, it may know no other.
+    const { shard, roster } = this.#options;
+    const isWaiting = this.#search.isSearching ||
+      roster.order(shard).length === 0;
+    return isWaiting ? "searching" : "none";
   }
 
   /** Whether a coordinator is known. */
--- a/src/plugins/quotas/coordinator_search.ts
+++ b/src/plugins/quotas/coordinator_search.ts
@@ -41,6 +41,8 @@
   readonly #onFound: () => void;
   readonly #suspicions = new Map<string, Suspicion>();
   readonly #contacts = new Map<string, Contact>();
+  /** The order of which the target was chosen. */
+  #order: readonly Candidate[] = [];
   #target: Candidate | undefined;
   #isSearching = false;
   #searchAt = 0;
@@ -71,9 +73,7 @@
   /** Chooses a coordinator if none is known or the present one has gone. */
   choose(now: number): void {
     const order = this.#roster.order(this.#shard);
-    const { name } = this.#target ?? {};
-    // The endpoint may have changed with a restart.
-    this.#target = order.find((candidate) => candidate.name === name);
+    if (order !== this.#order) this.#follow(order);
     if (this.#target || this.#isSearching || now < this.#searchAt) return;
     const candidates = order.filter((item) => !this.isSuspected(item, now));
     if (candidates.length === order.length) this.#target = candidates[0];
@@ -129,6 +129,20 @@
     return suspicion !== undefined && now < suspicion.until;
   }
 
+  /** Drops what is known about hosts that have gone. */
+  #follow(order: readonly Candidate[]): void {
+    this.#order = order;
+    const { name } = this.#target ?? {};
+    // The endpoint may have changed with a restart.
+    this.#target = order.find((candidate) => candidate.name === name);
+    const names = new Set(order.map((candidate) => candidate.name));
+    for (const known of [this.#contacts, this.#suspicions]) {
+      for (const other of known.keys()) {
+        if (!names.has(other)) known.delete(other);
+      }
+    }
+  }
+
   /** Asks hosts in growing rounds; the first in order that answers in a round is the coordinator. */
   #search(candidates: readonly Candidate[], size: number): void {
     const round = candidates.slice(0, size);
--- a/src/plugins/quotas/shard_coordinator.ts
+++ b/src/plugins/quotas/shard_coordinator.ts
@@ -21,7 +21,7 @@
 import { accrue } from "./token_bucket.ts";
 import { TokenPool } from "./token_pool.ts";
 
-/** Time after its first request within which a coordinator expects the other hosts' parts, in ms: hosts that lost another coordinator come after 1,550 ms. */
+/** Time after its first request within which a coordinator expects the other hosts' parts, in ms: hosts that lost another coordinator come after 1,350 ms at most. */
 const START_SETTLING_MS = 2_000;
 
 /** Fraction of the parts of live hosts from which on no more parts are expected. */
@@ -180,11 +180,11 @@
     if (ask.coordinatorLife !== this.#life || ask.sentAt > now) return;
     const expiresAt = ask.sentAt + DELEGATION_MS;
     if (expiresAt <= now) return;
-    const isNew = this.#parts.get(host) === undefined;
+    const known = this.#parts.get(host);
     const share = 1 / Math.max(1, ask.parts);
-    this.#settleAll(now);
+    if (known?.share !== share) this.#settleAll(now);
     this.#parts.set(host, { share, expiresAt });
-    if (!isNew) return;
+    if (known) return;
     this.#settlingUntil = Math.max(this.#settlingUntil, now + SETTLING_MS);
     if (ask.handover) this.#credit(host, share, ask.handover);
   }
@@ -258,7 +258,7 @@
     }
   }
 
-  /** To be called before the parts or the limits change, and before a pool is used. */
+  /** Has to precede each change of the shares or the limits. */
   #settleAll(now: number): void {
     for (const pool of this.#pools.values()) this.#settle(pool, now);
   }
--- a/test/platform/host_watch_test.ts
+++ b/test/platform/host_watch_test.ts
@@ -5,10 +5,15 @@
 import {
   HostWatch,
   REMOVE_AFTER_MS,
+  ROW_RETENTION_MS,
 } from "../../src/plugins/leadership/host_watch.ts";
 import { FakeCoordination, FakeStore } from "./fixtures/fake_coordination.ts";
 
-function createRing(names: readonly string[], dead: ReadonlySet<string>) {
+function createRing(
+  names: readonly string[],
+  dead: ReadonlySet<string>,
+  dividesLimits = false,
+) {
   const store = new FakeStore();
   const probes: string[] = [];
   const coordinations = names.map((name) => new FakeCoordination(name, store));
@@ -21,6 +26,7 @@
         probes.push(`${name} ${address}`);
         return Promise.resolve(!dead.has(address.split(":")[0]!));
       },
+      dividesLimits: () => dividesLimits,
       log: createEventLog("silent", {}),
     });
   });
@@ -115,6 +121,20 @@
       await probeAll();
       expect([...store.hosts.keys()].sort()).toEqual(["a", "d"]);
     });
+
+    // Guards against a part of the limits that others take over while its proxy uses it.
+    it("is kept for longer where limits are divided among the rows", async (test) => {
+      const { store, probeAll } = createRing(["a", "b"], new Set(["b"]), true);
+      for (let round = 0; round < 3; round += 1) await probeAll();
+      const realNow = clock.now.bind(clock);
+      let later = ROW_RETENTION_MS - 1_000;
+      test.mock.method(clock, "now", () => realNow() + later);
+      await probeAll();
+      expect(store.hosts.has("b")).toEqual(true);
+      later = ROW_RETENTION_MS;
+      await probeAll();
+      expect(store.hosts.has("b")).toEqual(false);
+    });
   });
 
   it("sends no probe when there is no other proxy", async () => {
--- a/test/platform/metrics_test.ts
+++ b/test/platform/metrics_test.ts
@@ -32,10 +32,13 @@
       configurationVersion: () => 1,
       storeConfirmationAge: () => 0,
       droppedLogLines: () => 0,
+      accounts: () => [
+        { account: database, granted: 2, used: 1, refused: 0 },
+      ],
     }, createEventLog("silent", {})).render();
 
   // Guards against a name that makes the whole page unreadable or forges a sample.
-  it("can be read whatever the names of groups and instances contain", () => {
+  it("can be read whatever the names of groups, instances and accounts contain", () => {
     const names = [
       "ledger",
       'a"',
