--- a/src/plugins/quotas/limited_accounts.ts
+++ b/src/plugins/quotas/limited_accounts.ts
@@ -10,8 +10,9 @@
 
 /**
  * Accounts of one shard, which share a coordinator and its messages. Messages
- * name only accounts with work, so more shards cost more of them: 74 accounts in
- * two shards cost half as many messages again as in one.
+ * name only accounts with work, so more shards cost more of them: for 74 accounts
+ * in two shards 31.0 instead of 24.5 a second and host on 26 hosts, 14.7 instead
+ * of 8.8 on 300 (quotas_test, "cost few messages").
  */
 const ACCOUNTS_PER_SHARD = 128;
 
--- a/src/plugins/quotas/part.ts
+++ b/src/plugins/quotas/part.ts
@@ -74,7 +74,7 @@
     }
     this.#share = share;
     if (former === 0 || share === 0) {
-      this.#since = Math.max(now, this.#heldUntil);
+      this.#since = Math.max(now, this.#heldUntil, this.#usableAt);
       this.#buckets.clear();
     } else if (share > former && now > this.#since) {
       this.#since = now - (now - this.#since) * former / share;
--- a/test/quotas_test.ts
+++ b/test/quotas_test.ts
@@ -360,6 +360,28 @@
       .toBeGreaterThan(350);
   });
 
+  // Guards against a part that is used in the former and in the new shard of an account.
+  it("stay inside the bound when accounts move to other shards", () => {
+    const limit = { rate: 100, burst: 10 };
+    const { cluster, pick, start } = startCluster(12, { a: limit });
+    const many = Object.fromEntries(
+      numbered(300).map((name) => [name, { rate: 1, burst: 1 }] as const),
+    );
+    cluster.load("a", 1_000, start + 20_000, pick());
+    const spread = () => cluster.random() * 500;
+    for (const at of [4_000, 5_500, 7_000, 8_500, 10_000]) {
+      const others = at % 1_000 === 0 ? many : {};
+      cluster.at(
+        start + at,
+        () => cluster.setLimits({ ...others, a: limit }, spread),
+      );
+    }
+    cluster.runUntil(start + 20_000);
+    expect(cluster.worstWindow("a", limit)).toBeLessThanOrEqual(1);
+    expect(admittedIn(cluster, start + 14_000, start + 20_000))
+      .toBeGreaterThan(550);
+  });
+
   it("serve within 5 s after all hosts have restarted", () => {
     const { cluster, names, pick, start } = startCluster(26, {
       a: { rate: 40, burst: 40 },
