--- a/src/plugins/metrics/metrics_server.ts
+++ b/src/plugins/metrics/metrics_server.ts
@@ -11,6 +11,7 @@
   type ServerAddress,
   tryListen,
 } from "../../utils/http_server.ts";
+import type { AccountUsage } from "../quotas/quotas.ts";
 import type { RequestCounters } from "./request_counters.ts";
 
 const QUANTILES: readonly number[] = [0.5, 0.9, 0.99, 0.999];
@@ -25,6 +26,8 @@
 
 /** Returns the samples of one part of the product; their number must be bounded. */
 export type MetricCollector = () => readonly MetricSample[];
+/** Accounts with samples of their own; bounds the size of the page. */
+const MAX_ACCOUNTS = 50;
 
 /** Sources of the exported metrics. */
 export interface MetricsSources {
@@ -40,6 +43,8 @@
   readonly droppedLogLines: () => number;
   /** Further metrics. */
   readonly collectors?: readonly MetricCollector[];
+  /** Counts of the accounts with most operations, at most `limit` of them. */
+  readonly accounts?: (limit: number) => readonly AccountUsage[];
 }
 
 /** Values of labels by name. */
@@ -115,6 +120,12 @@
       addSample("connections_share", labels, usage.share);
       addSample("connections_opened_total", labels, usage.opened);
     }
+    for (const usage of this.#sources.accounts?.(MAX_ACCOUNTS) ?? []) {
+      const labels = { account: usage.account };
+      addSample("quota_granted_total", labels, usage.granted);
+      addSample("quota_used_total", labels, usage.used);
+      addSample("quota_refused_total", labels, usage.refused);
+    }
     addSample("callers", {}, this.#sources.callers());
     addSample(
       "configuration_version",
