Find the pace of a scheduled instance from how it answers

Cause: statements in flight were limited by rejections alone (ConcurrencyLimit). Nothing is rejected until the slots and the queue of an instance are full, so one proxy fills all of it: urgent work waits behind reports in the instance's own queue, and all connections of a scheduled instance are in use, so that accounts close each other's (0.58 openings for each statement of 74 accounts at 150% of six slots).

Change: Pace replaces it for scheduled instances. It starts from the instance's reported capacity, which ListedInstance now carries as a hint. Urgent work goes during a pause of a pace below 1. The queue keeps the accounts with waiters apart and looks at deadlines when it orders them, which took half of the pool's processor time. Event 607 is new.

Partial: with four proxies or more whose load begins in a crowd the baseline is too high until a dip or rejections show a lower one (some 25 to 47 statements at the instance in place of 10).

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -96,6 +96,7 @@
   SHARE_CHANGED: event(604, "share-changed", "info"),
   LOAD_SHED: event(605, "load-shed", "warn"),
   CONNECTIONS_SCARCE: event(606, "connections-scarce", "info"),
+  PACE_CHANGED: event(607, "pace-changed", "info"),
 } as const satisfies Record<string, EventKind>;
 
 /** Fields of a log line in addition to the event's number and name. */
--- a/src/plugins/connections/upstream_pools.ts
+++ b/src/plugins/connections/upstream_pools.ts
@@ -24,7 +24,8 @@
 import { NO_ACCOUNT } from "../scheduling/account_connections.ts";
 import { AccountPool } from "../scheduling/account_pool.ts";
 import { AccountTransactions } from "../scheduling/account_transactions.ts";
-import { RejectionLimit } from "../scheduling/rejection_limit.ts";
+import { Pace } from "../scheduling/pace.ts";
+import { PaceLog } from "../scheduling/pace_change.ts";
 import type { DirectLink, UpstreamLink } from "../upstream/link.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { ConnectionUse } from "./connections.ts";
@@ -103,13 +104,16 @@
 
 interface Entry {
   readonly instance: ListedInstance;
-  readonly isScheduled: boolean;
   readonly pool: ConnectionPool<DirectLink>;
+  /** The same pool, if the instance is scheduled. */
+  readonly scheduled?: AccountPool;
   readonly acquireTransactionSlot: (
     request: LinkRequest,
   ) => Promise<ReleaseSlot | undefined>;
   /** Adapts the pool to the current share of connections. */
   readonly updateShare: () => void;
+  /** Periodic maintenance of what belongs to the pool. */
+  readonly maintain?: () => void;
 }
 
 /** Connection pools by instance id. */
@@ -153,7 +157,7 @@
       ));
     }
     // A host may become the holder of an instance at any time.
-    if (entry.isScheduled) entry.updateShare();
+    if (entry.scheduled) entry.updateShare();
     const { database } = entry.pool.target;
     return entry.pool.acquire({ database, ...request });
   }
@@ -163,7 +167,7 @@
   ): Promise<ReleaseSlot | undefined> {
     if (this.#stopped) return undefined;
     const entry = this.#entry(request.instance);
-    if (entry?.isScheduled) entry.updateShare();
+    if (entry?.scheduled) entry.updateShare();
     return await entry?.acquireTransactionSlot(request);
   }
 
@@ -190,7 +194,7 @@
     if (!instance) return known;
     const isScheduled = this.#options.isScheduled?.(instance.group) ?? false;
     if (known && isSameTarget(known.instance, instance)) {
-      if (known.isScheduled === isScheduled) return known;
+      if ((known.scheduled !== undefined) === isScheduled) return known;
       this.#retire(id, `the way in which instance ${id} is shared changes`);
     } else if (known) this.remove(id);
     const entry = isScheduled
@@ -223,7 +227,6 @@
     });
     return {
       instance,
-      isScheduled: false,
       pool,
       acquireTransactionSlot: ({ priority, deadline }) =>
         transactions.acquire(priority, deadline),
@@ -235,27 +238,35 @@
   #createScheduledEntry(instance: ListedInstance): Entry {
     const { connector, onFailure } = this.#options;
     const transactions = new AccountTransactions(0, QUEUE_LENGTH);
-    const pool: AccountPool = new AccountPool({
+    const log = (kind: EventKind, fields: EventFields) =>
+      this.#log(instance, kind, fields);
+    const paceLog = new PaceLog(log);
+    const pool = new AccountPool({
       target: { database: instance.group, instance: instance.id },
       queueLength: QUEUE_LENGTH,
-      log: (kind, fields) => this.#log(instance, kind, fields),
+      log,
       open: (account) => connector.open(instance, { account }),
       onFailure: () => onFailure(instance),
-      limit: new RejectionLimit(() => pool.use.share),
+      limit: new Pace(
+        instance.capacity,
+        clock.now(),
+        (change) => paceLog.record(change),
+      ),
     });
     return {
       instance,
-      isScheduled: true,
       pool,
+      scheduled: pool,
       acquireTransactionSlot: (request) =>
         transactions.acquire({
           ...request,
           account: request.account ?? NO_ACCOUNT,
           rank: request.rank ?? 0,
         }),
+      maintain: () => transactions.maintain(),
       updateShare: () => {
         const share = this.#scheduledShare(instance);
-        if (share === pool.use.share) return;
+        if (share === pool.share) return;
         pool.setShare(share);
         transactions.setShare(share);
       },
@@ -304,9 +315,10 @@
     for (const retired of this.#retired) {
       if (retired.pool.use.open === 0) this.#retired.delete(retired);
     }
-    for (const { pool, updateShare } of this.#entries.values()) {
+    for (const { pool, updateShare, maintain } of this.#entries.values()) {
       updateShare();
       pool.maintain(now);
+      maintain?.();
       this.#reportScarcity(pool, now);
     }
   }
--- a/src/plugins/deployment/instance_directory.ts
+++ b/src/plugins/deployment/instance_directory.ts
@@ -18,6 +18,8 @@
   readonly claimsPrimary: boolean;
   /** Unix ms of its start; distinguishes restarts under the same id. */
   readonly startedAt: number;
+  /** Statements that it works on at once, as it reports; a hint that may be wrong. */
+  readonly capacity?: number;
 }
 
 /**
--- a/src/plugins/scheduling/account_pool.ts
+++ b/src/plugins/scheduling/account_pool.ts
@@ -103,6 +103,11 @@
     return this.#options.target;
   }
 
+  /** Maximum number of connections. */
+  get share(): number {
+    return this.#connections.share;
+  }
+
   get load(): number {
     return this.#connections.busyCount + this.#waiting;
   }
--- a/src/plugins/scheduling/account_transactions.ts
+++ b/src/plugins/scheduling/account_transactions.ts
@@ -84,7 +84,6 @@
   }
 
   #grant(): void {
-    this.#queue.expire();
     for (;;) {
       const next = this.#queue.order()
         .find(({ account }) => this.#mayHold(account));
--- a/src/plugins/scheduling/dispatcher.ts
+++ b/src/plugins/scheduling/dispatcher.ts
@@ -16,6 +16,9 @@
 /** Slot time that opening a connection costs, in ms, and the longest time for which others are served first to save it; given by the work plan. */
 const OPENING_COST_MS = 12;
 
+/** Rank whose work is sent during a pause of the limit as well; it is little, and counts for the next pause. */
+export const URGENT_RANK = 0;
+
 /** Outcome of a wait for a connection. */
 export type Acquired = Result<ScheduledLink, Failure>;
 
@@ -44,8 +47,9 @@
 
   /** Whether another statement may be sent now. Openings occupy slots as well. */
   hasRoom(now = clock.now()): boolean {
-    const { limit, flights, connections } = this.#sources;
-    return limit.allows(flights.count + connections.pending, now);
+    const { limit, flights, connections, queue, continuing } = this.#sources;
+    const isUrgent = continuing.size > 0 || queue.hasRank(URGENT_RANK);
+    return limit.allows(flights.count + connections.pending, now, isUrgent);
   }
 
   /** Serves whom it can. */
@@ -53,12 +57,20 @@
     // A connection that proves unusable calls back while it is taken.
     if (this.#isRunning) return this.plan();
     this.#isRunning = true;
-    const { own, continuing, queue } = this.#sources;
+    const { continuing, queue, limit } = this.#sources;
     const now = clock.now();
-    for (const waiting of [own, continuing, queue]) waiting.expire(now);
     this.#serveOwn();
-    while (this.hasRoom(now) && (this.#continueNext() || this.#serveNext(now)));
-    this.#planWake(now);
+    while (queue.size + continuing.size > 0 && this.hasRoom(now)) {
+      if (!this.#continueNext() && !this.#serveNext(now)) break;
+    }
+    clearTimeout(this.#wakeTimer);
+    if (queue.size + continuing.size > 0) {
+      if (this.hasRoom(now)) this.#planNextOpening(now);
+      else {
+        limit.recordHeldBack(now);
+        this.#wakeAfter(limit.remainingPause(now));
+      }
+    }
     this.#isRunning = false;
   }
 
@@ -164,18 +176,18 @@
     });
   }
 
-  /** Runs again when a pause of the limit, or the time for which a waiter is passed over, has ended. */
-  #planWake(now: number): void {
-    const { limit, queue, continuing } = this.#sources;
-    clearTimeout(this.#wakeTimer);
-    if (queue.size + continuing.size === 0) return;
-    const pause = limit.remainingPause(now);
-    const due = queue.order(now)
+  /** Runs again when the time has ended for which waiters may be passed over. */
+  #planNextOpening(now: number): void {
+    const due = this.#sources.queue.order(now)
       .flatMap(({ since, passedOverAt = since }) => [since, passedOverAt])
-      .map((at) => at + OPENING_COST_MS)
-      .filter((at) => at > now);
-    const wait = pause > 0 ? pause : Math.min(...due) - now;
-    if (wait === Infinity) return;
+      .map((at) => at + OPENING_COST_MS - now)
+      .filter((wait) => wait > 0);
+    this.#wakeAfter(due.length > 0 ? Math.min(...due) : 0);
+  }
+
+  /** Runs again after a time in ms; 0 waits for an event. */
+  #wakeAfter(wait: number): void {
+    if (wait <= 0) return;
     this.#wakeTimer = setTimeout(() => this.run(), Math.ceil(wait));
     this.#wakeTimer.unref();
   }
--- a/src/plugins/scheduling/fair_level.ts
+++ b/src/plugins/scheduling/fair_level.ts
@@ -24,6 +24,8 @@
 /** Waiters of one rank by account. */
 export class FairLevel<Entry extends LevelEntry> {
   readonly #flows = new Map<string, Flow<Entry>>();
+  /** The flows with waiters. */
+  readonly #active = new Set<Flow<Entry>>();
   /** Largest tag of an account that was served. */
   #virtualTime = 0;
   #size = 0;
@@ -54,14 +56,14 @@
 
   /** Numbers of waiters of the accounts that have any. */
   *counts(): Iterable<readonly [account: string, count: number]> {
-    for (const [account, { waiting }] of this.#flows) {
-      if (waiting.length > 0) yield [account, waiting.length];
+    for (const { waiting } of this.#active) {
+      yield [waiting[0]!.account, waiting.length];
     }
   }
 
   /** All waiters, in no order. */
   *entries(): Iterable<Entry> {
-    for (const { waiting } of this.#flows.values()) yield* waiting;
+    for (const { waiting } of this.#active) yield* waiting;
   }
 
   /** Adds a waiter behind the others of its account. */
@@ -71,15 +73,17 @@
       flow.tag = Math.max(flow.tag, this.#virtualTime);
     }
     flow.waiting.push(entry);
+    this.#active.add(flow);
     this.#size += 1;
   }
 
   /** Removes a waiter; returns false if it is not there. */
   remove(entry: Entry): boolean {
-    const waiting = this.#flows.get(entry.account)?.waiting ?? [];
-    const index = waiting.indexOf(entry);
-    if (index < 0) return false;
-    waiting.splice(index, 1);
+    const flow = this.#flows.get(entry.account);
+    const index = flow?.waiting.indexOf(entry) ?? -1;
+    if (!flow || index < 0) return false;
+    flow.waiting.splice(index, 1);
+    if (flow.waiting.length === 0) this.#active.delete(flow);
     this.#size -= 1;
     return true;
   }
@@ -99,13 +103,12 @@
 
   /** The first waiter of each account in order of service. */
   heads(): readonly Entry[] {
-    return [...this.#flows.values()]
-      .filter(({ waiting }) => waiting.length > 0)
-      .map(({ waiting, tag }) => ({ head: waiting[0]!, tag }))
+    return [...this.#active]
       .sort((left, right) =>
-        left.tag - right.tag || left.head.since - right.head.since
+        left.tag - right.tag ||
+        left.waiting[0]!.since - right.waiting[0]!.since
       )
-      .map(({ head }) => head);
+      .map(({ waiting }) => waiting[0]!);
   }
 
   /** Slot time in ms of the waiters that would be served before a new one of the account, at `slotTime` each; undefined stands for an account that has used little. */
@@ -116,7 +119,7 @@
       ? own!.tag + count * slotTime
       : Math.max(own?.tag ?? 0, this.#virtualTime);
     let ahead = count;
-    for (const { waiting, tag } of this.#flows.values()) {
+    for (const { waiting, tag } of this.#active) {
       if (waiting === own?.waiting || tag > start) continue;
       const rounds = Math.floor((start - tag) / slotTime) + 1;
       ahead += Math.min(waiting.length, rounds);
--- a/src/plugins/scheduling/fair_queue.ts
+++ b/src/plugins/scheduling/fair_queue.ts
@@ -50,6 +50,11 @@
     return size;
   }
 
+  /** Whether work of a rank waits. */
+  hasRank(rank: number): boolean {
+    return (this.#levels.get(rank)?.size ?? 0) > 0;
+  }
+
   /** Number of waiters of an account. */
   countOf(account: string): number {
     let count = 0;
@@ -80,9 +85,7 @@
         resolve(outcome);
       };
       const waiter = { account, rank, deadline, since, settle, expired };
-      const timer = setTimeout(() => {
-        if (this.remove(waiter)) resolve(expired());
-      }, deadline - since);
+      const timer = setTimeout(() => this.#expire(waiter), deadline - since);
       this.#level(rank).add(waiter);
     });
   }
@@ -92,19 +95,17 @@
     return this.#levels.get(waiter.rank)?.remove(waiter) ?? false;
   }
 
-  /** Settles the waiters whose deadline has passed: timers are late after a pause of the process or a suspension of the host. */
-  expire(now = clock.now()): void {
-    for (const waiter of this.#waiters()) {
-      if (waiter.deadline > now || !this.remove(waiter)) continue;
-      waiter.settle(waiter.expired());
-    }
-  }
-
   /** The first waiter of each account and rank, in the order in which they are to be served. */
   order(now = clock.now()): readonly Waiter<T>[] {
     const heads = [...this.#levels]
       .sort(([left], [right]) => left - right)
       .flatMap(([, level]) => level.heads());
+    // Timers are late after a pause of the process or a suspension of the host.
+    const overdue = heads.filter(({ deadline }) => deadline <= now);
+    if (overdue.length > 0) {
+      for (const waiter of overdue) this.#expire(waiter);
+      return this.order(now);
+    }
     const starved = this.#dueStarved(heads, now);
     if (!starved) return heads;
     return [starved, ...heads.filter((head) => head !== starved)];
@@ -183,6 +184,10 @@
     }
   }
 
+  #expire(waiter: Waiter<T>): void {
+    if (this.remove(waiter)) waiter.settle(waiter.expired());
+  }
+
   #dueStarved(
     heads: readonly Waiter<T>[],
     now: number,
--- a/src/plugins/scheduling/flight.ts
+++ b/src/plugins/scheduling/flight.ts
@@ -25,6 +25,8 @@
   readonly rank: number;
   /** Slot time in ms that the account was charged with in advance. */
   readonly charged: number;
+  /** Number of statements in flight when it began, with itself. */
+  readonly inFlight: number;
   /** What kind of statement it is, for comparisons of durations. */
   kind: string;
   /** Monotonic ms at which it was sent; undefined until then. */
@@ -67,7 +69,8 @@
   /** Begins a flight and charges its account with the expected slot time. */
   begin(account: string, rank: number): Flight {
     const charged = this.#slotTimes.of(rank);
-    const flight: Flight = { account, rank, charged, kind: "" };
+    const inFlight = this.#flights.size + 1;
+    const flight: Flight = { account, rank, charged, inFlight, kind: "" };
     this.#flights.add(flight);
     this.#queue.charge(account, rank, charged);
     return flight;
--- a/src/plugins/scheduling/scheduled_link.ts
+++ b/src/plugins/scheduling/scheduled_link.ts
@@ -280,7 +280,7 @@
     kind: string,
     perform: () => LinkResult<Answer>,
   ): LinkResult<Answer> {
-    flight.kind = kind;
+    flight.kind = `${kind} ${flight.rank}`;
     flight.sentAt = clock.now();
     const result = await perform();
     if (result.isErr() && result.error.silent && result.error.over) {
--- a/src/plugins/scheduling/statement_limit.ts
+++ b/src/plugins/scheduling/statement_limit.ts
@@ -9,10 +9,12 @@
 export interface StatementLimit {
   /** Statements that may be in flight; may be below 1, for pauses between them. */
   readonly current: number;
-  /** Whether another statement may be sent while `inFlight` are in flight. */
-  allows(inFlight: number, now: number): boolean;
-  /** Time in ms until another statement may be sent although none ends, as far as that is known; 0 if only an end can allow it. */
-  remainingPause(now: number): number;
+  /** Whether another statement may be sent while `inFlight` are in flight; an urgent one may shorten a pause. */
+  allows(inFlight: number, now: number, isUrgent?: boolean): boolean;
+  /** Time in ms until another statement may be sent although none ends; 0 if only an end can allow it. */
+  remainingPause(now: number, isUrgent?: boolean): number;
+  /** Records that a statement has to wait for the limit. */
+  recordHeldBack(now: number): void;
   /** Records the end of a statement; `inFlight` are left. */
   record(
     flight: Flight,
--- a/src/plugins/scheduling/wait_estimate.ts
+++ b/src/plugins/scheduling/wait_estimate.ts
@@ -7,6 +7,7 @@
 import { clock } from "../../kernel/clock.ts";
 import { MeanDuration } from "../connections/mean_duration.ts";
 import type { AccountConnections } from "./account_connections.ts";
+import { URGENT_RANK } from "./dispatcher.ts";
 import type { FairQueue } from "./fair_queue.ts";
 import type { SlotTimes } from "./slot_times.ts";
 import type { StatementLimit } from "./statement_limit.ts";
@@ -58,15 +59,16 @@
 
   #expectSlot(account: string | undefined, rank: number, now: number): number {
     const { queue, continuing, slotTimes, limit, hasRoom } = this.#sources;
+    const isUrgent = rank === URGENT_RANK;
+    const isNext = hasRoom() || (isUrgent && limit.current < 1);
     const ahead = queue.timeAhead(account, rank, (one) => slotTimes.of(one)) +
-      continuing.size * slotTimes.mean +
-      (hasRoom() ? 0 : slotTimes.of(rank));
+      continuing.size * slotTimes.mean + (isNext ? 0 : slotTimes.of(rank));
     // Work of the ranks before goes on to arrive while the request waits.
     const slots = Math.max(
       LEAST_RANK_PART * limit.current,
       limit.current - slotTimes.slotsUsedBefore(rank, now),
     );
-    return limit.remainingPause(now) + ahead / slots;
+    return limit.remainingPause(now, isUrgent) + ahead / slots;
   }
 
   /** Expected wait for a connection when all are in use, also by transactions that rest. */
--- a/test/platform/documents_test.ts
+++ b/test/platform/documents_test.ts
@@ -47,6 +47,12 @@
     });
   });
 
+  it("an instance's reported capacity is passed on", () => {
+    const read = (capacity: number | null) =>
+      parseInstance(row({ ...instance, capacity }))._unsafeUnwrap().capacity;
+    expect([read(6), read(-1), read(null)]).toEqual([6, -1, undefined]);
+  });
+
   it("a row with a missing field, a wrong type or an unknown state is rejected", () => {
     for (
       const wrong of [
--- a/test/platform/session_drain_test.ts
+++ b/test/platform/session_drain_test.ts
@@ -149,7 +149,7 @@
     const context: SessionContext = createProxy(
       load,
       instances,
-      (id) => works.get(id ?? "") ?? 1,
+      { workOf: (id) => works.get(id ?? "") ?? 1 },
     );
     const sessions = callers.map((caller) =>
       new CallerSession(context, caller, {
--- a/test/scheduling/account_pool_test.ts
+++ b/test/scheduling/account_pool_test.ts
@@ -48,6 +48,7 @@
       current: slots,
       allows: (inFlight) => inFlight < slots,
       remainingPause: () => 0,
+      recordHeldBack: () => {},
       record: () => {},
     },
   });
--- a/test/scheduling/fair_queue_test.ts
+++ b/test/scheduling/fair_queue_test.ts
@@ -138,7 +138,6 @@
         add("a", 0, 200);
         add("b", 0, 2_000);
         spend(1_000);
-        queue.expire();
         expect(queue.order().map(({ account }) => account)).toEqual(["b"]);
         await sleep(1);
       }));
