--- a/test/quota_service_test.ts
+++ b/test/quota_service_test.ts
@@ -1,6 +1,6 @@
 import { describe } from "node:test";
 import { expect } from "earl";
-import { errAsync, ResultAsync } from "neverthrow";
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import pino from "pino";
 import { clock } from "../src/kernel/clock.ts";
 import { EventLog } from "../src/kernel/events.ts";
@@ -37,6 +37,10 @@
     all.set(this.endpoint, this);
   }
 
+  connect(): ResultAsync<void, ChannelFailure> {
+    return okAsync(undefined);
+  }
+
   serve(kind: string, handler: ChannelHandler): void {
     this.#handlers.set(kind, handler);
   }
@@ -107,7 +111,7 @@
     const value = {
       incarnation: proxy,
       address: `${proxy}:1`,
-      channels: `${proxy}:3`,
+      channel: `${proxy}:3`,
     };
     store.hosts.set(proxy, { version: 1, value });
     const channels = new LocalChannels(proxy, all);
