Let a restarted host keep its part of the limits

Change: the registration of a host keeps the number of parts that its row says, also that of an earlier run, and the part is used 1.5 s after the start of the process, when the earlier run's delegations have ended.

--- a/src/plugins/quotas/host_quotas.ts
+++ b/src/plugins/quotas/host_quotas.ts
@@ -54,7 +54,7 @@
     this.#options = options;
     const { network, rows } = options;
     const { proxy, endpoint } = network;
-    this.#roster = new Roster(proxy, endpoint, rows);
+    this.#roster = new Roster(proxy, endpoint, rows, network.now());
     this.#census = new Census({ rows, roster: this.#roster, network });
     this.#roster.refresh(network.now());
   }
--- a/src/plugins/quotas/roster.ts
+++ b/src/plugins/quotas/roster.ts
@@ -70,14 +70,16 @@
   /** Clock ms since which this host counts far fewer than its row says. */
   #shrunkSince: number | undefined;
   #joinedAt = Infinity;
+  readonly #startedAt: number;
   /** Number of parts that another host counts, until the clock ms behind it. */
   #told = { parts: 0, until: 0 };
   #isLeaving = false;
 
-  constructor(proxy: string, endpoint: string, rows: HostRows) {
+  constructor(proxy: string, endpoint: string, rows: HostRows, now: number) {
     this.#proxy = proxy;
     this.#endpoint = endpoint;
     this.#rows = rows;
+    this.#startedAt = now;
   }
 
   /** Reads the rows again; returns whether the hosts have changed. */
@@ -191,6 +193,10 @@
       return;
     }
     this.#recorded = own!.parts;
+    // An earlier run of this host had joined, and what it delegated ends like that of a new host.
+    const isInherited = this.#recorded !== undefined &&
+      this.#joinedAt === Infinity;
+    if (isInherited) this.#joinedAt = this.#startedAt + JOIN_SETTLING_MS;
     this.#confirmedAt = Math.max(this.#confirmedAt, rows.confirmedAt);
   }
 
--- a/test/quotas_test.ts
+++ b/test/quotas_test.ts
@@ -395,6 +395,22 @@
     expect(refusedOf(later)).toEqual([]);
   });
 
+  // Guards against restarts that leave limited accounts unserved until all hosts have asked each other again.
+  it("serve within 2 s after all hosts were killed and have restarted", () => {
+    const { cluster, names, pick, start } = startCluster(26, {
+      a: { rate: 40, burst: 40 },
+    });
+    cluster.runUntil(start + 5_000);
+    for (const name of names) cluster.start(name);
+    const restartedAt = cluster.now;
+    cluster.load("a", 20, restartedAt + 8_000, pick(), true);
+    cluster.runUntil(restartedAt + 9_000);
+    const later = cluster.outcomes.filter(({ askedAt }) =>
+      askedAt > restartedAt + 2_000
+    );
+    expect(refusedOf(later)).toEqual([]);
+  });
+
   // Guards against a host that is gone for good keeping all others, which have just restarted, from their parts.
   it("serve within 5 s after all hosts but a lost one have restarted", () => {
     const { cluster, names, start } = startCluster(26, {
