Show what a scheduled instance does, and for which accounts

Cause: neither metrics nor log lines tell which account waits, whose connections are closed for others, or why an instance gets less work.

Change: ConnectionUse carries the schedule of an instance: pace, why and when it changed, statements in flight, and by account what waits, is open, was served, opened and closed for another. Event 608 is written in place of 606 for scheduled instances, and 605 names the account with most waiting. UpstreamPools.expectedWait tells the expected wait of a rank. A pool whose share falls to 0 tells its waiters at once, and the proxy's own statements no longer count as held connections.

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -97,6 +97,7 @@
   LOAD_SHED: event(605, "load-shed", "warn"),
   CONNECTIONS_SCARCE: event(606, "connections-scarce", "info"),
   PACE_CHANGED: event(607, "pace-changed", "info"),
+  ACCOUNTS_WAITING: event(608, "accounts-waiting", "info"),
 } as const satisfies Record<string, EventKind>;
 
 /** Fields of a log line in addition to the event's number and name. */
--- a/src/plugins/connections/connections.ts
+++ b/src/plugins/connections/connections.ts
@@ -7,6 +7,7 @@
 import type { Socket } from "node:net";
 import type { ResultAsync } from "neverthrow";
 import type { Failure } from "../../kernel/result_codes.ts";
+import type { ScheduleUse } from "../scheduling/schedule_use.ts";
 
 /** Priority of a statement in the queue; `high` is served first. */
 export type Priority = "high" | "normal" | "low";
@@ -61,6 +62,8 @@
   readonly share: number;
   /** Connections opened since the pool was created. */
   readonly opened: number;
+  /** Where the instance is scheduled. */
+  readonly schedule?: ScheduleUse;
 }
 
 /** Connection pools for all instances. */
--- a/src/plugins/connections/upstream_pools.ts
+++ b/src/plugins/connections/upstream_pools.ts
@@ -26,6 +26,7 @@
 import { AccountTransactions } from "../scheduling/account_transactions.ts";
 import { Pace } from "../scheduling/pace.ts";
 import { PaceLog } from "../scheduling/pace_change.ts";
+import type { ScheduleUse } from "../scheduling/schedule_use.ts";
 import type { DirectLink, UpstreamLink } from "../upstream/link.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { ConnectionUse } from "./connections.ts";
@@ -99,6 +100,9 @@
 /** Minimum interval between two reports of scarce connections of an instance. */
 const REPORT_INTERVAL_MS = 500;
 
+/** Number of accounts in a report of scarce connections. */
+const REPORTED_ACCOUNTS = 5;
+
 /** Maximum number of statements that wait for a connection to one instance. */
 const QUEUE_LENGTH = 400;
 
@@ -175,6 +179,11 @@
     return this.#entries.get(id)?.pool.load ?? 0;
   }
 
+  /** Expected wait in ms of a request of a rank at a scheduled instance, of an account that has used little; 0 at others. */
+  expectedWait(id: string, rank: number): number {
+    return this.#entry(id)?.scheduled?.expectedWait(rank) ?? 0;
+  }
+
   /** Removes the pool of an instance that is no longer listed; connections in use are closed when they are released. */
   remove(id: string): void {
     this.#retire(id, `instance ${id} is gone`);
@@ -325,19 +334,34 @@
 
   /** Logs the connection counts of an instance while statements wait for it. */
   #reportScarcity(pool: ConnectionPool<DirectLink>, now: number): void {
-    const { instance, database, ...use } = pool.use;
+    const { instance, database, schedule, ...use } = pool.use;
     if (use.waiting === 0) return;
     const last = this.#reportedAt.get(instance) ?? -Infinity;
     if (now - last < REPORT_INTERVAL_MS) return;
     this.#reportedAt.set(instance, now);
-    this.#options.log.write(Events.CONNECTIONS_SCARCE, {
-      group: database,
-      instance,
-      ...use,
+    const fields = { group: database, instance, ...use };
+    if (!schedule) {
+      return this.#options.log.write(Events.CONNECTIONS_SCARCE, fields);
+    }
+    const { pace, inFlight } = schedule;
+    this.#options.log.write(Events.ACCOUNTS_WAITING, {
+      ...fields,
+      pace: Number(pace.toFixed(2)),
+      inFlight,
+      accounts: formatWaiting(schedule),
     });
   }
 }
 
+/** The accounts with most requests that wait, and their numbers. */
+function formatWaiting({ accounts }: ScheduleUse): string {
+  return accounts.filter(({ waiting }) => waiting > 0)
+    .sort((left, right) => right.waiting - left.waiting)
+    .slice(0, REPORTED_ACCOUNTS)
+    .map(({ account, waiting }) => `${account} ${waiting}`)
+    .join(", ");
+}
+
 function stopping(): Failure {
   return createFailure(ResultCodes.SHUTTING_DOWN, "this proxy is stopping");
 }
--- a/src/plugins/metrics/metrics_server.ts
+++ b/src/plugins/metrics/metrics_server.ts
@@ -6,6 +6,7 @@
 import { createServer, type Server } from "node:http";
 import type { EventLog } from "../../kernel/events.ts";
 import type { LinkPools } from "../connections/link_pools.ts";
+import type { ScheduleUse } from "../scheduling/schedule_use.ts";
 import {
   closeServer,
   type ServerAddress,
@@ -101,6 +102,9 @@
       addSample("statements_waiting", labels, usage.waiting);
       addSample("connections_share", labels, usage.share);
       addSample("connections_opened_total", labels, usage.opened);
+      for (const sample of scheduleSamples(usage.schedule)) {
+        addSample(sample.name, { ...labels, ...sample.labels }, sample.value);
+      }
     }
     addSample("callers", {}, this.#sources.callers());
     addSample(
@@ -120,6 +124,45 @@
   }
 }
 
+interface Sample {
+  readonly name: string;
+  readonly labels?: Labels;
+  readonly value: number;
+}
+
+/** Samples about a scheduled instance. */
+function scheduleSamples(schedule: ScheduleUse | undefined): readonly Sample[] {
+  if (!schedule) return [];
+  const { pace, paceReason, paceAge, inFlight, accounts } = schedule;
+  return [
+    { name: "pace", value: pace },
+    {
+      name: "pace_change_age_milliseconds",
+      labels: { reason: paceReason },
+      value: Math.round(paceAge),
+    },
+    { name: "statements_in_flight", value: inFlight },
+    ...accounts.flatMap(({ account, ...use }) => {
+      const labels = { account };
+      return [
+        { name: "account_waiting", labels, value: use.waiting },
+        { name: "account_connections_open", labels, value: use.open },
+        { name: "account_served_total", labels, value: use.served },
+        {
+          name: "account_connections_opened_total",
+          labels,
+          value: use.opened,
+        },
+        {
+          name: "account_connections_replaced_total",
+          labels,
+          value: use.closed,
+        },
+      ];
+    }),
+  ];
+}
+
 /** Formats labels in braces; escapes their values, which may be names that the operator or an instance chose. */
 function formatLabels(labels: Labels): string {
   const pairs = Object.entries(labels)
--- a/src/plugins/scheduling/account_connections.ts
+++ b/src/plugins/scheduling/account_connections.ts
@@ -15,6 +15,7 @@
 import type { DirectLink } from "../upstream/link.ts";
 import { AccountOpener, type FailedPart } from "./account_opener.ts";
 import { IdleConnections, type KeepingRule } from "./idle_connections.ts";
+import type { AccountCounts } from "./schedule_use.ts";
 import { type LinkOwner, ScheduledLink } from "./scheduled_link.ts";
 
 /** Key of what has no account: it uses connections of the proxy's own name. No account has an empty name. */
@@ -45,17 +46,11 @@
     account: string,
     part: FailedPart,
   ) => void;
+  readonly counts: AccountCounts;
   /** Whether the instance has answered statements of other accounts a moment ago. */
   readonly worksForOthers: (account: string) => boolean;
 }
 
-/** Numbers of connections since the start. */
-export interface OpeningCounts {
-  opened: number;
-  /** Idle connections that were closed to make room for one of another account. */
-  replaced: number;
-}
-
 /** Connections by account to one instance. */
 export class AccountConnections {
   readonly #options: AccountConnectionsOptions;
@@ -65,7 +60,7 @@
   readonly #busy = new Set<ScheduledLink>();
   /** Connections that are closing but may still count towards the instance's limit, with the account that takes the place if one does. */
   readonly #closing = new Map<ScheduledLink, string | undefined>();
-  readonly counts: OpeningCounts = { opened: 0, replaced: 0 };
+  #opened = 0;
   #share = 0;
   #isClosed = false;
 
@@ -93,6 +88,11 @@
     return this.#open.size + this.#closing.size + this.#opener.pending;
   }
 
+  /** Connections opened since the start. */
+  get opened(): number {
+    return this.#opened;
+  }
+
   get openCount(): number {
     return this.#open.size;
   }
@@ -131,6 +131,15 @@
     return count;
   }
 
+  /** Numbers of open connections by account. */
+  openByAccount(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const { account } of this.#open) {
+      counts.set(account, (counts.get(account) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   idleOf(account: string): number {
     return this.#idle.countOf(account);
   }
@@ -175,7 +184,7 @@
       fairPart: this.#share / Math.max(1, accounts.size),
     });
     if (!link) return false;
-    this.counts.replaced += 1;
+    this.#options.counts.add(link.account, "closed");
     this.#end(link, account);
     return true;
   }
@@ -270,7 +279,8 @@
   }
 
   #onOpened(create: MemberFactory<DirectLink>, account: string): void {
-    this.counts.opened += 1;
+    this.#opened += 1;
+    this.#options.counts.add(account, "opened");
     const link = new ScheduledLink(account, create, this.#options.owner);
     this.#open.add(link);
     this.#options.log(Events.CONNECTION_OPENED, {
--- a/src/plugins/scheduling/account_pool.ts
+++ b/src/plugins/scheduling/account_pool.ts
@@ -34,6 +34,7 @@
 import { FairQueue } from "./fair_queue.ts";
 import { type Flight, type FlightOutcome, Flights } from "./flight.ts";
 import type { LinkOwner, ScheduledLink } from "./scheduled_link.ts";
+import { AccountCounts, type ScheduleUse } from "./schedule_use.ts";
 import { SlotTimes } from "./slot_times.ts";
 import type { StatementLimit } from "./statement_limit.ts";
 import { WaitEstimate } from "./wait_estimate.ts";
@@ -62,6 +63,7 @@
   readonly #dispatcher: Dispatcher;
   readonly #estimate: WaitEstimate;
   readonly #admission: FairAdmission;
+  readonly #counts = new AccountCounts();
   #closeFailure: Failure | undefined;
 
   constructor(options: AccountPoolOptions) {
@@ -75,6 +77,7 @@
       open,
       log,
       onFailure,
+      counts: this.#counts,
       owner: this,
       onAvailable: () => this.#dispatcher.run(),
       onOpenFailed: (failure, account, part) =>
@@ -95,7 +98,8 @@
     this.#estimate = new WaitEstimate(sources);
     this.#admission = new FairAdmission(
       target.instance,
-      (shed) => log(Events.LOAD_SHED, { ...shed }),
+      (shed) =>
+        log(Events.LOAD_SHED, { ...shed, mostWaiting: this.#mostWaiting() }),
     );
   }
 
@@ -113,7 +117,7 @@
   }
 
   get use(): ConnectionUse {
-    const { allocated, busyCount, share, counts } = this.#connections;
+    const { allocated, busyCount, share, opened } = this.#connections;
     return {
       database: this.target.database,
       instance: this.target.instance,
@@ -121,7 +125,22 @@
       busy: busyCount,
       waiting: this.#waiting,
       share,
-      opened: counts.opened,
+      opened,
+      schedule: this.#schedule,
+    };
+  }
+
+  get #schedule(): ScheduleUse {
+    const { current, lastChange } = this.#options.limit;
+    return {
+      pace: current,
+      paceReason: lastChange.reason,
+      paceAge: clock.now() - lastChange.at,
+      inFlight: this.#flights.count,
+      accounts: this.#counts.list(
+        this.#queue.countByAccount(),
+        this.#connections.openByAccount(),
+      ),
     };
   }
 
@@ -157,6 +176,8 @@
 
   setShare(share: number): void {
     this.#connections.setShare(share);
+    // No connection that is given back is kept for anybody.
+    if (share === 0) this.#failWaiters(this.#noShare());
     this.#dispatcher.run();
   }
 
@@ -212,14 +233,15 @@
 
   end(flight: Flight, outcome: FlightOutcome): void {
     if (!this.#flights.end(flight, outcome)) return;
+    if (outcome === "answered") this.#counts.add(flight.account, "served");
     const { limit } = this.#options;
     limit.record(flight, outcome, this.#flights.count, clock.now());
     this.#dispatcher.plan();
   }
 
-  onReleased(link: ScheduledLink): void {
+  onReleased(link: ScheduledLink, wasOwnUse: boolean): void {
     const now = clock.now();
-    this.#estimate.recordHold(now - link.lastUsedAt);
+    if (!wasOwnUse) this.#estimate.recordHold(now - link.lastUsedAt);
     link.lastUsedAt = now;
     this.#connections.giveBack(link);
     this.#dispatcher.run();
@@ -235,18 +257,19 @@
 
   /** Why no connection can be had at all. */
   #unavailable(): Failure | undefined {
-    const { instance } = this.target;
-    const { share, openCount, isUnreachable } = this.#connections;
-    if (share === 0 && openCount === 0) {
-      return createFailure(
-        ResultCodes.UPSTREAM_REFUSED,
-        `other proxies hold all connections to ${instance}`,
-      );
-    }
+    const { share, isUnreachable } = this.#connections;
+    if (share === 0) return this.#noShare();
     if (!isUnreachable) return undefined;
     return createFailure(
       ResultCodes.UPSTREAM_UNREACHABLE,
-      `${instance} could not be reached a moment ago`,
+      `${this.target.instance} could not be reached a moment ago`,
+    );
+  }
+
+  #noShare(): Failure {
+    return createFailure(
+      ResultCodes.UPSTREAM_REFUSED,
+      `other proxies hold all connections to ${this.target.instance}`,
     );
   }
 
@@ -273,6 +296,13 @@
     );
   }
 
+  /** The account with most requests in the queue. */
+  #mostWaiting(): string | undefined {
+    const [first] = [...this.#queue.countByAccount()]
+      .sort(([, left], [, right]) => right - left);
+    return first?.[0];
+  }
+
   #expiry(request: AdmissionRequest): Failure {
     const wait = this.#estimate.expect(request.account, request.rank);
     return this.#admission.expire(request, wait);
@@ -290,9 +320,9 @@
     }
   }
 
+  /** Fails those that wait for a connection. Statements of open transactions have one. */
   #failWaiters(failure: Failure): void {
     for (const waiter of this.#own.clear()) waiter.settle(err(failure));
-    for (const waiter of this.#continuing.clear()) waiter.settle(err(failure));
     for (const waiter of this.#queue.clear()) waiter.settle(err(failure));
   }
 }
--- a/src/plugins/scheduling/scheduled_link.ts
+++ b/src/plugins/scheduling/scheduled_link.ts
@@ -36,7 +36,8 @@
   begin(link: ScheduledLink): Flight;
   /** Ends a flight. */
   end(flight: Flight, outcome: FlightOutcome): void;
-  onReleased(link: ScheduledLink): void;
+  /** The connection is idle again; `wasOwnUse` if a statement of the proxy itself has used it. */
+  onReleased(link: ScheduledLink, wasOwnUse: boolean): void;
   onClosed(link: ScheduledLink): void;
 }
 
@@ -74,8 +75,9 @@
     this.#owner = owner;
     this.#inner = create({
       onReleased: (_, wasRejected = false) => {
+        const { isOwnUse } = this;
         this.#endLease(wasRejected);
-        owner.onReleased(this);
+        owner.onReleased(this, isOwnUse);
       },
       onClosed: () => {
         this.#endLease(false);
--- a/test/scheduling/account_pool_test.ts
+++ b/test/scheduling/account_pool_test.ts
@@ -46,6 +46,7 @@
     onFailure: () => {},
     limit: {
       current: slots,
+      lastChange: { reason: "start", pace: slots, at: 0 },
       allows: (inFlight) => inFlight < slots,
       remainingPause: () => 0,
       recordHeldBack: () => {},
--- a/test/scheduling/scheduled_pools_test.ts
+++ b/test/scheduling/scheduled_pools_test.ts
@@ -66,9 +66,11 @@
       const { instance, mode, hold, release } = createPools();
       const held = await Promise.all(["a", "b", "c", "d"].map(hold));
       expect(instance.openings).toEqual(["a", "b", "c", "d"]);
+      const waiting = hold("e");
       mode.share = 0;
-      held.forEach(release);
       expect(await hold("a")).toEqual("upstream-refused");
+      expect(await waiting).toEqual("upstream-refused");
+      held.forEach(release);
       await sleep(10);
       expect(instance.connections).toEqual(0);
       mode.share = 1;
