Put the opening lines of the scheduling tests on one line

The formatter keeps a title and its function on one line for functions that are called it or test. pace_load_test takes some 70 s and starts first. No check changes.

--- a/test/run.ts
+++ b/test/run.ts
@@ -21,6 +21,7 @@
 const LISTED_DURATIONS = 12;
 /** The files that take more than 15 s; they start first, so that none runs alone at the end. */
 const LONG_FILES: readonly string[] = [
+  "scheduling/pace_load_test.js",
   "not_run_test.js",
   "failover_test.js",
   "platform/soak_test.js",
--- a/test/scheduling/fair_queue_test.ts
+++ b/test/scheduling/fair_queue_test.ts
@@ -1,9 +1,9 @@
-import { describe, it } from "node:test";
+import { describe, test } from "node:test";
 import { expect } from "earl";
 import { FairQueue } from "../../src/plugins/scheduling/fair_queue.ts";
 import { clock } from "../../src/kernel/clock.ts";
 import {
-  itInVirtualTime,
+  itInVirtualTime as it,
   runInVirtualTime,
 } from "../platform/fixtures/virtual_time.ts";
 import { sleep } from "../../src/utils/sleep.ts";
@@ -32,96 +32,78 @@
 describe("FairQueue", () => {
   describe("order", () => {
     // Guards against a large account that takes the slots of a small one by many or long statements.
-    itInVirtualTime(
-      "shares slot time, not statements, among the accounts of a rank",
-      () => {
-        const { add, serve } = createQueue();
-        for (const _ of times(40)) {
-          ["long", "short"].forEach((name) => add(name));
-        }
-        const served = times(36)
-          .map(() => serve((account) => account === "long" ? 50 : 10));
-        expect(served.filter((name) => name === "long0").length).toEqual(6);
-      },
-    );
+    it("shares slot time, not statements, among the accounts of a rank", () => {
+      const { add, serve } = createQueue();
+      for (const _ of times(40)) {
+        ["long", "short"].forEach((name) => add(name));
+      }
+      const served = times(36)
+        .map(() => serve((account) => account === "long" ? 50 : 10));
+      expect(served.filter((name) => name === "long0").length).toEqual(6);
+    });
 
-    itInVirtualTime(
-      "serves a lower rank number first, and an account in order of arrival",
-      async () => {
-        const { queue, settled, add } = createQueue();
-        add("c", 2);
-        add("a", 1);
-        add("a", 0);
-        add("b", 0);
-        for (const [index] of times(4).entries()) {
-          const [first] = queue.order();
-          queue.serve(first!, 10);
-          first!.settle(`${index}: ${first!.rank}`);
-        }
-        await Promise.resolve();
-        expect(settled).toEqual(["0: 0 a", "1: 0 b", "2: 1 a", "3: 2 c"]);
-      },
-    );
+    it("serves a lower rank number first, and an account in order of arrival", async () => {
+      const { queue, settled, add } = createQueue();
+      add("c", 2);
+      add("a", 1);
+      add("a", 0);
+      add("b", 0);
+      for (const [index] of times(4).entries()) {
+        const [first] = queue.order();
+        queue.serve(first!, 10);
+        first!.settle(`${index}: ${first!.rank}`);
+      }
+      await Promise.resolve();
+      expect(settled).toEqual(["0: 0 a", "1: 0 b", "2: 1 a", "3: 2 c"]);
+    });
 
     // Guards against an account that returns from a pause and holds up all others, or waits for them.
-    itInVirtualTime(
-      "serves an account that was idle next, but only once for each turn of the others",
-      () => {
-        const { add, serve } = createQueue();
-        for (const _ of times(20)) ["a", "b"].forEach((name) => add(name));
-        for (const _ of times(10)) serve();
-        for (const _ of times(5)) add("late");
-        const served = times(9).map(() => serve());
-        expect(served.slice(0, 3).includes("late0")).toEqual(true);
-        expect(served.filter((name) => name === "late0").length).toEqual(3);
-      },
-    );
+    it("serves an account that was idle next, but only once for each turn of the others", () => {
+      const { add, serve } = createQueue();
+      for (const _ of times(20)) ["a", "b"].forEach((name) => add(name));
+      for (const _ of times(10)) serve();
+      for (const _ of times(5)) add("late");
+      const served = times(9).map(() => serve());
+      expect(served.slice(0, 3).includes("late0")).toEqual(true);
+      expect(served.filter((name) => name === "late0").length).toEqual(3);
+    });
 
     // Guards against a rank that never runs while those above it use all slots.
-    itInVirtualTime(
-      "gives one grant of eight to a rank that has waited a second",
-      async () => {
-        const { add, serve } = createQueue();
-        for (const account of ["x", "y"]) times(4).map(() => add(account, 2));
-        await sleep(999);
-        for (const _ of times(60)) add("a", 0);
-        expect(times(8).map(() => serve()).includes("x2")).toEqual(false);
-        await sleep(1);
-        const served = times(32).map(() => serve())
-          .filter((name) => name !== "a0");
-        expect(served).toEqual(["x2", "y2", "x2", "y2"]);
-      },
-    );
+    it("gives one grant of eight to a rank that has waited a second", async () => {
+      const { add, serve } = createQueue();
+      for (const account of ["x", "y"]) times(4).map(() => add(account, 2));
+      await sleep(999);
+      for (const _ of times(60)) add("a", 0);
+      expect(times(8).map(() => serve()).includes("x2")).toEqual(false);
+      await sleep(1);
+      const served = times(32).map(() => serve())
+        .filter((name) => name !== "a0");
+      expect(served).toEqual(["x2", "y2", "x2", "y2"]);
+    });
   });
 
   describe("when full", () => {
-    itInVirtualTime(
-      "evicts the last waiter of the account with most waiting in the highest rank number",
-      () => {
-        const { queue, add } = createQueue(6);
-        for (const account of ["a", "b", "b", "b"]) add(account, 1);
-        for (const _ of times(2)) add("a", 0);
-        const evicted = queue.makeRoom("c", 1);
-        expect(evicted !== "refuse" && evicted?.account).toEqual("b");
-        expect(queue.countOf("b")).toEqual(2);
-        expect(queue.makeRoom("c", 1)).toEqual(undefined);
-      },
-    );
+    it("evicts the last waiter of the account with most waiting in the highest rank number", () => {
+      const { queue, add } = createQueue(6);
+      for (const account of ["a", "b", "b", "b"]) add(account, 1);
+      for (const _ of times(2)) add("a", 0);
+      const evicted = queue.makeRoom("c", 1);
+      expect(evicted !== "refuse" && evicted?.account).toEqual("b");
+      expect(queue.countOf("b")).toEqual(2);
+      expect(queue.makeRoom("c", 1)).toEqual(undefined);
+    });
 
-    itInVirtualTime(
-      "refuses the new one if it would be the first to go",
-      () => {
-        const { queue, add } = createQueue(3);
-        for (const account of ["a", "b", "b"]) add(account, 1);
-        expect(queue.makeRoom("b", 1)).toEqual("refuse");
-        expect(queue.makeRoom("a", 2)).toEqual("refuse");
-        expect(queue.size).toEqual(3);
-      },
-    );
+    it("refuses the new one if it would be the first to go", () => {
+      const { queue, add } = createQueue(3);
+      for (const account of ["a", "b", "b"]) add(account, 1);
+      expect(queue.makeRoom("b", 1)).toEqual("refuse");
+      expect(queue.makeRoom("a", 2)).toEqual("refuse");
+      expect(queue.size).toEqual(3);
+    });
   });
 
   describe("deadlines", () => {
-    itInVirtualTime("end the wait on time", async () => {
+    it("end the wait on time", async () => {
       const { queue, settled, add } = createQueue();
       add("a", 0, 200);
       await sleep(199);
@@ -132,7 +114,7 @@
     });
 
     // Guards against statements that are sent for callers that gave up while the process stood still.
-    it("end the wait when timers are late", () =>
+    test("end the wait when timers are late", () =>
       runInVirtualTime(1, 10_000, async ({ spend }) => {
         const { queue, add } = createQueue();
         add("a", 0, 200);
@@ -143,7 +125,7 @@
       }));
   });
 
-  itInVirtualTime("estimates the slot time ahead of a new waiter", () => {
+  it("estimates the slot time ahead of a new waiter", () => {
     const { queue, add, serve } = createQueue();
     for (const _ of times(10)) add("large", 1);
     for (const _ of times(4)) serve();
--- a/test/scheduling/pace_test.ts
+++ b/test/scheduling/pace_test.ts
@@ -7,7 +7,7 @@
   type InstanceShape,
   SimulatedInstance,
 } from "../platform/fixtures/simulated_instance.ts";
-import { itInVirtualTime } from "../platform/fixtures/virtual_time.ts";
+import { itInVirtualTime as it } from "../platform/fixtures/virtual_time.ts";
 
 const SLOTS = 6;
 const WORK_MS = 30;
@@ -72,75 +72,60 @@
 describe("Pace", () => {
   // Guards against instances that are flooded, or left idle, when a reported capacity is wrong or missing.
   for (const capacity of [undefined, 6, 1, 0, -1, 1e9]) {
-    itInVirtualTime(
-      `finds the slots of an instance that reports a capacity of ${capacity}`,
-      async () => {
-        const { pace, instance, use } = saturate(capacity);
-        await sleep(2_000);
-        expect(await use(3_000)).toBeGreaterThan(0.9);
-        expect(pace.current).toBeLessThan(4 * SLOTS);
-        expect(instance.busy).toEqual(0);
-      },
-    );
+    it(`finds the slots of an instance that reports a capacity of ${capacity}`, async () => {
+      const { pace, instance, use } = saturate(capacity);
+      await sleep(2_000);
+      expect(await use(3_000)).toBeGreaterThan(0.9);
+      expect(pace.current).toBeLessThan(4 * SLOTS);
+      expect(instance.busy).toEqual(0);
+    });
   }
 
   // Guards against statements that wait at an instance which has become slow.
-  itInVirtualTime(
-    "falls at once when the instance gets ten times as slow, and uses it again within seconds",
-    async () => {
-      const { pace, state, use } = saturate(SLOTS);
-      await sleep(4_000);
-      const usual = pace.current;
-      state.slowness = 10;
-      await sleep(800);
-      expect(pace.current).toBeLessThan(0.8 * usual);
-      await sleep(4_000);
-      expect(await use(4_000)).toBeGreaterThan(0.8);
-      state.slowness = 1;
-      await sleep(2_000);
-      expect(await use(2_000)).toBeGreaterThan(0.9);
-    },
-  );
+  it("falls at once when the instance gets ten times as slow, and uses it again within seconds", async () => {
+    const { pace, state, use } = saturate(SLOTS);
+    await sleep(4_000);
+    const usual = pace.current;
+    state.slowness = 10;
+    await sleep(800);
+    expect(pace.current).toBeLessThan(0.8 * usual);
+    await sleep(4_000);
+    expect(await use(4_000)).toBeGreaterThan(0.8);
+    state.slowness = 1;
+    await sleep(2_000);
+    expect(await use(2_000)).toBeGreaterThan(0.9);
+  });
 
   // Guards against a slow instance that is taken for a crowded one and left idle.
-  itInVirtualTime(
-    "keeps using an instance that is slower, but not crowded",
-    async () => {
-      const { state, use } = saturate(SLOTS);
-      await sleep(4_000);
-      state.slowness = 1.6;
-      await sleep(2_000);
-      expect(await use(6_000)).toBeGreaterThan(0.8);
-    },
-  );
+  it("keeps using an instance that is slower, but not crowded", async () => {
+    const { state, use } = saturate(SLOTS);
+    await sleep(4_000);
+    state.slowness = 1.6;
+    await sleep(2_000);
+    expect(await use(6_000)).toBeGreaterThan(0.8);
+  });
 
-  itInVirtualTime(
-    "gives less to an instance that fails a third of its statements",
-    async () => {
-      const { pace, state, use } = saturate(SLOTS);
-      await sleep(4_000);
-      const usual = pace.current;
-      state.failureRate = 1 / 3;
-      await sleep(300);
-      expect(pace.current).toBeLessThan(0.95 * usual);
-      expect(await use(5_000)).toBeGreaterThan(0.75);
-    },
-  );
+  it("gives less to an instance that fails a third of its statements", async () => {
+    const { pace, state, use } = saturate(SLOTS);
+    await sleep(4_000);
+    const usual = pace.current;
+    state.failureRate = 1 / 3;
+    await sleep(300);
+    expect(pace.current).toBeLessThan(0.95 * usual);
+    expect(await use(5_000)).toBeGreaterThan(0.75);
+  });
 
   // Guards against an instance that never returns to service, and one that is flooded while it fails.
-  itInVirtualTime(
-    "sends trial statements to an instance that fails all, and returns when it recovers",
-    async () => {
-      const { state, use, watch } = saturate(SLOTS);
-      await sleep(2_000);
-      state.failureRate = 1;
-      await sleep(2_000);
-      const trials = await watch(10_000);
-      expect(trials.use).toBeLessThan(0.05);
-      expect(trials.ended).toBeGreaterThan(2);
-      state.failureRate = 0;
-      await sleep(6_000);
-      expect(await use(2_000)).toBeGreaterThan(0.8);
-    },
-  );
+  it("sends trial statements to an instance that fails all, and returns when it recovers", async () => {
+    const { state, use, watch } = saturate(SLOTS);
+    await sleep(2_000);
+    state.failureRate = 1;
+    await sleep(2_000);
+    const trials = await watch(10_000);
+    expect(trials.use).toBeLessThan(0.05);
+    expect(trials.ended).toBeGreaterThan(2);
+    state.failureRate = 0;
+    await sleep(6_000);
+    expect(await use(2_000)).toBeGreaterThan(0.8);
+  });
 });
--- a/test/scheduling/scheduled_pools_test.ts
+++ b/test/scheduling/scheduled_pools_test.ts
@@ -12,7 +12,7 @@
   createConnector,
   SimulatedInstance,
 } from "../platform/fixtures/simulated_instance.ts";
-import { itInVirtualTime } from "../platform/fixtures/virtual_time.ts";
+import { itInVirtualTime as it } from "../platform/fixtures/virtual_time.ts";
 
 /** Pools of one instance, whose group's mode and share can be set. */
 function createPools() {
@@ -60,41 +60,35 @@
 }
 
 describe("UpstreamPools of a scheduled group", () => {
-  itInVirtualTime(
-    "open connections by account, within the share of the moment",
-    async () => {
-      const { instance, mode, hold, release } = createPools();
-      const held = await Promise.all(["a", "b", "c", "d"].map(hold));
-      expect(instance.openings).toEqual(["a", "b", "c", "d"]);
-      const waiting = hold("e");
-      mode.share = 0;
-      expect(await hold("a")).toEqual("upstream-refused");
-      expect(await waiting).toEqual("upstream-refused");
-      held.forEach(release);
-      await sleep(10);
-      expect(instance.connections).toEqual(0);
-      mode.share = 1;
-      release(await hold("a"));
-    },
-  );
+  it("open connections by account, within the share of the moment", async () => {
+    const { instance, mode, hold, release } = createPools();
+    const held = await Promise.all(["a", "b", "c", "d"].map(hold));
+    expect(instance.openings).toEqual(["a", "b", "c", "d"]);
+    const waiting = hold("e");
+    mode.share = 0;
+    expect(await hold("a")).toEqual("upstream-refused");
+    expect(await waiting).toEqual("upstream-refused");
+    held.forEach(release);
+    await sleep(10);
+    expect(instance.connections).toEqual(0);
+    mode.share = 1;
+    release(await hold("a"));
+  });
 
   // Guards against connections beyond the share while those of the earlier mode are still in use.
-  itInVirtualTime(
-    "count connections of the former mode until they have ended",
-    async () => {
-      const { instance, mode, hold, release } = createPools();
-      const former = await Promise.all(["a", "b", "c", "d"].map(hold));
-      mode.isScheduled = false;
-      release(await hold("a"));
-      mode.isScheduled = true;
-      expect(await hold("x")).toEqual("upstream-refused");
-      former.forEach(release);
-      await sleep(10);
-      instance.peakConnections = 0;
-      (await Promise.all(["x", "y", "z"].map(hold))).forEach(release);
-      expect(instance.peakConnections).toEqual(3);
-    },
-  );
+  it("count connections of the former mode until they have ended", async () => {
+    const { instance, mode, hold, release } = createPools();
+    const former = await Promise.all(["a", "b", "c", "d"].map(hold));
+    mode.isScheduled = false;
+    release(await hold("a"));
+    mode.isScheduled = true;
+    expect(await hold("x")).toEqual("upstream-refused");
+    former.forEach(release);
+    await sleep(10);
+    instance.peakConnections = 0;
+    (await Promise.all(["x", "y", "z"].map(hold))).forEach(release);
+    expect(instance.peakConnections).toEqual(3);
+  });
 });
 
 describe("AccountTransactions", () => {
@@ -104,7 +98,7 @@
   };
 
   // Guards against an account whose resting transactions keep all others from a connection.
-  itInVirtualTime("leave slots for other accounts", async () => {
+  it("leave slots for other accounts", async () => {
     const transactions = new AccountTransactions(20, 100);
     for (let count = 0; count < 14; count += 1) {
       void transactions.acquire(request("large"));
@@ -117,7 +111,7 @@
     expect(other !== undefined).toEqual(true);
   });
 
-  itInVirtualTime("tell at once when a slot would come too late", async () => {
+  it("tell at once when a slot would come too late", async () => {
     const transactions = new AccountTransactions(1, 100);
     const first = await transactions.acquire(request("a"));
     await sleep(1_000);
