--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -101,6 +101,7 @@
   LOAD_SHED: event(605, "load-shed", "warn"),
   CONNECTIONS_SCARCE: event(606, "connections-scarce", "info"),
   PACE_CHANGED: event(607, "pace-changed", "info"),
+  ACCOUNTS_WAITING: event(608, "accounts-waiting", "info"),
   HOLDER_CHANGED: event(620, "holder-changed", "info"),
   HOLDER_STOPPING: event(621, "holder-stopping", "info"),
   HOLDER_LEAVES: event(622, "holder-leaves", "info"),
