--- a/review/harness-2/group.mjs
+++ b/review/harness-2/group.mjs
@@ -7,6 +7,8 @@
 
 /** The site's heartbeat, and the delays of a small deployment. */
 const HEARTBEAT_MS = 1_200;
+/** An entry is removed after three intervals of silence. */
+const LAPSE_MS = 3 * HEARTBEAT_MS;
 const RECEIVE_MS = 12;
 const LAG_MS = 60;
 const PROMOTE_MS = 1_000;
@@ -193,6 +195,11 @@
       sequence: instance.sequence,
     };
     this.store.putForeign("servers", instance.id, value);
+    clearTimeout(instance.lapse);
+    instance.lapse = setTimeout(
+      () => this.store.removeForeign("servers", instance.id),
+      LAPSE_MS,
+    );
   }
 
   #open(instance) {
--- a/review/harness-2/store.mjs
+++ b/review/harness-2/store.mjs
@@ -71,6 +71,11 @@
     this.apply({ puts: [{ table, key, value: encoded }] });
   }
 
+  /** Removes a row of an instance, as the platform does with one that is silent. */
+  removeForeign(table, key) {
+    if (!this.isAway) this.apply({ remove: [{ table, key }] });
+  }
+
   /** Copies the state, as a backup does. */
   copy() {
     return {
