--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -6,8 +6,8 @@
   runCase,
   sleep,
   until,
-} from "../harness-2/deployment.mjs";
-import { Caller } from "../harness-2/caller.mjs";
+} from "../lib-2/deployment.mjs";
+import { Caller } from "../lib-2/caller.mjs";
 
 /** How long the store turns the machine away, in ms; as in the site file. */
 const TURNED_AWAY_MS = 7_000;
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -6,8 +6,8 @@
   runCase,
   sleep,
   until,
-} from "../harness-2/deployment.mjs";
-import { Caller } from "../harness-2/caller.mjs";
+} from "../lib-2/deployment.mjs";
+import { Caller } from "../lib-2/caller.mjs";
 
 /** From the copy to the drill, in ms: the copy is some seconds old. */
 const COPY_AGE_MS = 8_000;
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -7,8 +7,8 @@
   runCase,
   sleep,
   until,
-} from "../harness-2/deployment.mjs";
-import { Caller } from "../harness-2/caller.mjs";
+} from "../lib-2/deployment.mjs";
+import { Caller } from "../lib-2/caller.mjs";
 
 /** How long the other replica receives nothing before the primary crashes, in ms; the site's `replica_lag` lasts 6 s. */
 const DEAF_MS = 3_000;
