--- a/src/plugins/deployment/instance_directory.ts
+++ b/src/plugins/deployment/instance_directory.ts
@@ -20,6 +20,8 @@
   readonly startedAt: number;
   /** Statements that it works on at once, as it reports; a hint that may be wrong. */
   readonly capacity?: number;
+  /** Number of times that it had reported since its start; undefined if it doesn't count them. */
+  readonly reports?: number;
 }
 
 /**
@@ -29,6 +31,16 @@
  */
 export const LAPSE_GRACE_MS = 2_500;
 
+/**
+ * How long an entry may be missing after the list came back from an older copy,
+ * in ms: two seconds until the instance has reported again, and the longest time
+ * until this proxy reads that.
+ */
+const RETURN_AFTER_COPY_MS = 6_000;
+
+/** How long an instance that has left is remembered, in ms; a list comes back from a copy that is seconds old. */
+const FORMER_RETENTION_MS = 60_000;
+
 interface Entry {
   readonly instance: ListedInstance;
   /** Monotonic ms at which the entry disappeared from the list. */
@@ -41,6 +53,13 @@
 /** The last known instances; a lapsed entry stays usable for a grace period. */
 export class InstanceDirectory {
   readonly #entries = new Map<string, Entry>();
+  /** Instances that have left, with the monotonic ms at which their entries were removed here. */
+  readonly #former = new Map<
+    string,
+    { readonly instance: ListedInstance; readonly removedAt: number }
+  >();
+  /** Monotonic ms until which missing entries of instances that are not leaving may come back. */
+  #returnsUntil = -Infinity;
   readonly #listeners = new Set<DirectoryListener>();
   #loaded = false;
 
@@ -71,6 +90,32 @@
     this.#loaded = true;
   }
 
+  /**
+   * Applies a complete list that came back from an older copy. Entries that are
+   * missing may come back, and one of before an instance's last known report
+   * changes nothing; returns those.
+   */
+  replaceAllFromCopy(
+    instances: readonly ListedInstance[],
+    now = clock.now(),
+  ): readonly ListedInstance[] {
+    this.#returnsUntil = now + RETURN_AFTER_COPY_MS;
+    const outdated = instances.filter((instance) => this.#isOutdated(instance));
+    const current = instances.flatMap((instance) =>
+      outdated.includes(instance) ? this.get(instance.id) ?? [] : [instance]
+    );
+    this.replaceAll(current);
+    return outdated;
+  }
+
+  /** Whether a later report of the same run of the instance is known. */
+  #isOutdated({ id, startedAt, reports }: ListedInstance): boolean {
+    const known = this.get(id) ?? this.#former.get(id)?.instance;
+    return known !== undefined && known.startedAt === startedAt &&
+      reports !== undefined && known.reports !== undefined &&
+      reports < known.reports;
+  }
+
   /** Restarts the grace period of all lapsed entries, after the store that lists them was unavailable. */
   restartGracePeriods(now = clock.now()): void {
     for (const entry of this.#entries.values()) {
@@ -81,11 +126,17 @@
   /** Removes entries whose grace period has expired and returns their instances. */
   sweep(now = clock.now()): readonly ListedInstance[] {
     const expired: ListedInstance[] = [];
+    for (const [id, { removedAt }] of this.#former) {
+      if (now - removedAt > FORMER_RETENTION_MS) this.#former.delete(id);
+    }
     for (const [id, { instance, lapsedAt }] of this.#entries) {
       if (lapsedAt === undefined) continue;
-      const grace = instance.leaving ? 0 : LAPSE_GRACE_MS;
-      if (now - lapsedAt < grace) continue;
+      const until = instance.leaving
+        ? lapsedAt
+        : Math.max(lapsedAt + LAPSE_GRACE_MS, this.#returnsUntil);
+      if (now < until) continue;
       this.#entries.delete(id);
+      this.#former.set(id, { instance, removedAt: now });
       expired.push(instance);
     }
     return expired;
--- a/src/plugins/leadership/cached_rows.ts
+++ b/src/plugins/leadership/cached_rows.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { clock } from "../../kernel/clock.ts";
+import { eraOf } from "./store_era.ts";
 import type {
   AcknowledgementRecord,
   GroupRecord,
@@ -22,6 +23,10 @@
     string,
     Map<string, AcknowledgementRecord>
   >();
+  /** What was known of groups before the store came back from a copy. */
+  readonly #formerGroups = new Map<string, GroupRecord>();
+  /** Version of the first complete read of the era. */
+  #eraReadAt: RowVersion = 0;
   readonly #listeners = new Set<() => void>();
   /** The marks of absent proxies and the monotonic ms at which each was first seen. */
   readonly #absences = new Map<
@@ -32,7 +37,23 @@
   #liveHosts: readonly LiveHost[] | undefined;
 
   group(name: string): Versioned<GroupRecord> | undefined {
-    return this.groupRows.get(name);
+    const row = this.groupRows.get(name);
+    const former = this.#formerGroups.get(name);
+    if (!former || !isLater(former, row?.value)) return row;
+    return { version: row?.version ?? 0, value: former };
+  }
+
+  isGroupLost(name: string): boolean {
+    const former = this.#formerGroups.get(name);
+    return former !== undefined &&
+      isLater(former, this.groupRows.get(name)?.value);
+  }
+
+  /** Names of the groups whose rows are lost. */
+  protected lostGroups(): readonly string[] {
+    return [...this.#formerGroups.keys()].filter((name) =>
+      this.isGroupLost(name)
+    );
   }
 
   /** The rows of all proxies, by proxy name. */
@@ -88,13 +109,30 @@
    */
   protected dropRowsUpTo(version: RowVersion): void {
     this.#liveHosts = undefined;
+    if (eraOf(version) > eraOf(this.#eraReadAt)) this.#keepFormerRows(version);
     for (const rows of [this.groupRows, this.hostRows]) {
       for (const [name, row] of rows) {
-        if (row.version <= version) rows.delete(name);
+        if (row.version > 0 && row.version <= version) rows.delete(name);
       }
     }
   }
 
+  /**
+   * Keeps what the store may have lost: the proxies until their rows are written
+   * again or removed, and the groups while the rows of the copy are older.
+   */
+  #keepFormerRows(version: RowVersion): void {
+    for (const name of this.groupRows.keys()) {
+      const { version: known, value } = this.group(name)!;
+      if (eraOf(known) < eraOf(version)) this.#formerGroups.set(name, value);
+    }
+    for (const [name, { version: known, value }] of this.hostRows) {
+      if (eraOf(known) === eraOf(version)) continue;
+      this.hostRows.set(name, { version: 0, value });
+    }
+    this.#eraReadAt = version;
+  }
+
   /** Records an acknowledgement unless the proxy has acknowledged a later version; an earlier version's are dropped. */
   protected putAcknowledgement(
     group: string,
@@ -122,6 +160,13 @@
     return true;
   }
 
+  /** Caches a group's row; one that was written after the era's first read takes the place of what was known before. */
+  protected putGroupRow(name: string, row: Versioned<GroupRecord>): boolean {
+    if (!this.putRow(this.groupRows, name, row)) return false;
+    if (row.version > this.#eraReadAt) this.#formerGroups.delete(name);
+    return true;
+  }
+
   /** Removes a row from the cache. */
   protected removeRow<T>(rows: Map<string, Versioned<T>>, name: string): void {
     rows.delete(name);
@@ -132,3 +177,12 @@
     for (const listener of [...this.#listeners]) listener();
   }
 }
+
+/** Whether a former record tells of a later state than the row of a copy. */
+function isLater(former: GroupRecord, present: GroupRecord | undefined) {
+  if (!present) return true;
+  if (former.operation === present.operation) return false;
+  if (former.term !== present.term) return former.term > present.term;
+  return former.phase === "changing" && present.phase === "steady" &&
+    former.primary === present.primary;
+}
--- a/src/plugins/leadership/coordination.ts
+++ b/src/plugins/leadership/coordination.ts
@@ -6,7 +6,7 @@
  */
 import type { Result } from "neverthrow";
 
-/** The store's version of a row; 0 if the row does not exist. */
+/** The store's version of a row, ordered across its eras (see store_era.ts); 0 if the row is not in the store. */
 export type RowVersion = number;
 
 /** The stored state of a group's primary. */
@@ -97,7 +97,19 @@
   /** The store's version up to which all changes of the rows are known here. */
   readonly version: RowVersion;
   group(name: string): Versioned<GroupRecord> | undefined;
-  /** Proxies by name. */
+  /**
+   * Whether the store came back from a copy without this group's row as it is
+   * known here; `group` returns the known record with the version of the
+   * store's row.
+   */
+  isGroupLost(name: string): boolean;
+  /**
+   * Time on the store's clock, in ms, at which its era was first recorded there;
+   * undefined while it is not recorded, -Infinity if the store announces no eras
+   * or this proxy has known all changes of the era before.
+   */
+  readonly eraSince: number | undefined;
+  /** Proxies by name; the version is 0 of one whose row the store lost. */
   hosts(): ReadonlyMap<string, Versioned<HostRecord>>;
   /** The proxies that are not marked absent; the same list until it changes. */
   liveHosts(): readonly LiveHost[];
--- a/src/plugins/leadership/group_leadership.ts
+++ b/src/plugins/leadership/group_leadership.ts
@@ -16,6 +16,7 @@
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
 import { ChangeEstimate } from "./change_estimate.ts";
 import type { Coordination } from "./coordination.ts";
+import { isEraSettled } from "./era_settling.ts";
 
 /**
  * How long an answer of the store lets this proxy use the primaries, in ms,
@@ -140,7 +141,7 @@
     if (this.changing) return undefined;
     const instance = this.primary;
     if (!instance) return undefined;
-    const epoch = `${this.#record?.version ?? 0}:${instance}`;
+    const epoch = this.#epochOf(instance);
     if (epoch !== this.#lastEpoch) this.#startEpoch(epoch);
     return this.#replaced ? undefined : { instance, epoch };
   }
@@ -217,7 +218,7 @@
     let hasWaited = false;
     while (this.#isCurrent(leader.epoch)) {
       if (clock.now() < this.#leaseEnd()) return true;
-      if (this.#options.coordination.confirmedAt >= startedAt) return true;
+      if (this.#confirmedAt >= startedAt) return true;
       const now = clock.now();
       if (now >= deadline) return false;
       if (hasWaited || now - startedAt >= ROUND_DELAY_MS) {
@@ -233,9 +234,7 @@
   /** Applies new rows and instance entries; called after each answer of the store. */
   refresh(): void {
     this.current();
-    if (!this.changing) {
-      this.#steadyConfirmedAt = this.#options.coordination.confirmedAt;
-    }
+    if (!this.changing) this.#steadyConfirmedAt = this.#confirmedAt;
     this.#release();
     for (const wake of [...this.#waiters]) wake();
   }
@@ -249,19 +248,32 @@
     if (epoch !== this.#lastEpoch || this.#replaced) return false;
     if (!this.changing) {
       const instance = this.primary;
-      return epoch === `${this.#record?.version ?? 0}:${instance}`;
+      return instance !== undefined && epoch === this.#epochOf(instance);
     }
     return !this.#released && clock.now() < this.#leaseEnd();
   }
 
   /** Monotonic ms until which answers count as confirmed. */
   #leaseEnd(): number {
-    const { confirmedAt } = this.#options.coordination;
     // An answer that reports a change may have been requested after the change began.
-    const at = this.changing ? this.#steadyConfirmedAt : confirmedAt;
+    const at = this.changing ? this.#steadyConfirmedAt : this.#confirmedAt;
     return at + LEASE_MS;
   }
 
+  /**
+   * When the store last confirmed the rows. While a new era is not settled they
+   * may lack a change in progress, which only the instances show.
+   */
+  get #confirmedAt(): number {
+    const { coordination } = this.#options;
+    return isEraSettled(coordination) ? coordination.confirmedAt : -Infinity;
+  }
+
+  /** Identifies the write that named the leader, which may have been repeated under another version. */
+  #epochOf(instance: string): string {
+    return `${this.#record?.value.operation ?? "none"}:${instance}`;
+  }
+
   async #runRound(leader: Leader, deadline: number): Promise<boolean> {
     if (this.changing) return false;
     const { rounds } = this.#options;
--- a/src/plugins/leadership/peer_procedures.ts
+++ b/src/plugins/leadership/peer_procedures.ts
@@ -59,8 +59,9 @@
   output: empty,
 };
 
+// Proxies whose versions have no era use other names of this and the next procedure.
 const ANNOUNCE: PeerProcedure<GroupNotice, object> = {
-  name: "leadership.announce",
+  name: "leadership.announceInEra",
   input: z.object({
     group: z.string(),
     row: z.object({ version: z.number(), value: groupSchema }),
@@ -69,7 +70,7 @@
 };
 
 const ACKNOWLEDGE: PeerProcedure<AcknowledgementNotice, object> = {
-  name: "leadership.acknowledge",
+  name: "leadership.acknowledgeInEra",
   input: z.object({
     group: z.string(),
     proxy: z.string(),
--- a/src/plugins/leadership/primary_change.ts
+++ b/src/plugins/leadership/primary_change.ts
@@ -26,17 +26,13 @@
   GroupRecord,
   PromotionOrder,
 } from "./coordination.ts";
+import { CHANGE_TIMEOUT_MS } from "./era_settling.ts";
 import {
   type GroupLeadership,
   LEASE_EXPIRY_WAIT_MS,
   RECENT_ANSWER_MS,
 } from "./group_leadership.ts";
-
-/**
- * Time limit of a change before another proxy may take it over, in ms: the wait
- * for leases, then one promotion.
- */
-export const CHANGE_TIMEOUT_MS = 9_000;
+import { eraOf } from "./store_era.ts";
 
 /**
  * Remaining time of a change below which no promotion is ordered, in ms; covers
@@ -298,6 +294,8 @@
     const { coordination, leadership } = this.#options;
     const current = coordination.group(leadership.group);
     if (current && current.version > this.#version) return false;
+    // The row of the change is lost, and others may start one that they can't tell from it.
+    if (eraOf(coordination.version) > eraOf(this.#version)) return false;
     const remaining = this.#record!.expiresAt - coordination.clock();
     return remaining > ORDER_MARGIN_MS;
   }
--- a/src/plugins/leadership/succession.ts
+++ b/src/plugins/leadership/succession.ts
@@ -19,6 +19,7 @@
 } from "./coordination.ts";
 import { GroupLeadership, type StatusRounds } from "./group_leadership.ts";
 import { type ChangeReason, PrimaryChange } from "./primary_change.ts";
+import { isEraSettled } from "./era_settling.ts";
 import { PrimaryFailureDetector } from "./primary_doubt.ts";
 
 /** Interval between checks of all groups, in ms. */
@@ -65,6 +66,9 @@
   neededSince?: number;
   changing: boolean;
   notBefore: number;
+  /** Monotonic ms at which the group's row was first found lost. */
+  lostSince?: number;
+  restoring: boolean;
 }
 
 /** Manages the leadership and the primary changes of all groups. */
@@ -144,6 +148,7 @@
       ),
       changing: false,
       notBefore: -Infinity,
+      restoring: false,
     };
     this.#groups.set(name, group);
     leadership.refresh();
@@ -173,6 +178,7 @@
       const group = this.#group(name);
       this.#trackPrimary(group);
       void group.detector.checkSilence();
+      this.#checkRow(group);
       const reason = this.#reasonToChange(group);
       if (!reason) {
         group.neededSince = undefined;
@@ -189,9 +195,10 @@
   #reasonToChange(group: Group): ChangeReason | undefined {
     const { coordination, directory } = this.#options;
     const { leadership, detector } = group;
+    if (!isEraSettled(coordination)) return undefined;
     const record = coordination.group(leadership.group);
     if (record?.value.phase === "changing") {
-      if (!this.#isExpired(record.value)) return undefined;
+      if (!this.#isExpired(record.value, group)) return undefined;
       return {
         planned: record.value.planned,
         text: `${record.value.holder} did not end its change in time`,
@@ -216,22 +223,59 @@
     return { planned: true, text: `${primary} is leaving` };
   }
 
-  /** Whether the holder of a change has exceeded its time or has restarted. */
-  #isExpired(record: GroupRecord): boolean {
+  /** Writes the row of a group again that the store lost, unless another proxy does so first. */
+  #checkRow(group: Group): void {
     const { coordination } = this.#options;
+    if (!coordination.isGroupLost(group.leadership.group)) {
+      group.lostSince = undefined;
+      return;
+    }
+    const now = clock.now();
+    group.lostSince ??= now;
+    if (group.restoring || now - group.lostSince < this.#spread()) return;
+    void this.#restoreRow(group);
+  }
+
+  async #restoreRow(group: Group): Promise<void> {
+    const { coordination, log } = this.#options;
+    const name = group.leadership.group;
+    const { version, value } = coordination.group(name)!;
+    group.restoring = true;
+    const written = await coordination.putGroup(name, version, value);
+    log.write(Events.STORE_ROWS_RESTORED, {
+      group: name,
+      ...value,
+      before: version,
+      outcome: written.isOk() ? "written" : written.error.kind,
+    });
+    group.restoring = false;
+    // A failed write is repeated after the proxies behind this one had their turn.
+    group.lostSince = clock.now();
+  }
+
+  /** Whether the holder of a change has exceeded its time, has restarted or has given up. */
+  #isExpired(record: GroupRecord, group: Group): boolean {
+    const { coordination, proxy } = this.#options;
     if (coordination.clock() >= record.expiresAt) return true;
+    if (record.holder === proxy && !group.changing) return true;
     const holder = coordination.hosts().get(record.holder);
     return holder !== undefined &&
       holder.value.incarnation !== record.holderLife;
   }
 
+  /** How long this proxy lets those before it in the order of names act first, in ms. */
+  #spread(): number {
+    const { coordination, proxy } = this.#options;
+    const names = [...coordination.hosts().keys()].sort();
+    const rank = Math.max(0, names.indexOf(proxy));
+    return TAKEOVER_SPREAD_MS * rank / Math.max(1, names.length);
+  }
+
   /** How long this proxy waits for another one to start the change, in ms. */
   #headStart(group: Group): number {
     const { coordination, proxy } = this.#options;
     const record = coordination.group(group.leadership.group);
-    const names = [...coordination.hosts().keys()].sort();
-    const rank = Math.max(0, names.indexOf(proxy));
-    const spread = TAKEOVER_SPREAD_MS * rank / Math.max(1, names.length);
+    const spread = this.#spread();
     if (record?.value.phase === "changing") return HEAD_START_MS + spread;
     const holder = record?.value.holder;
     if (!holder || holder === proxy) return spread / 4;
--- a/src/plugins/relay/relay_server.ts
+++ b/src/plugins/relay/relay_server.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { clock } from "../../kernel/clock.ts";
+import { eraOf } from "../leadership/store_era.ts";
 import type { CoveredQuestions } from "./covered_questions.ts";
 import type { RelayChoice } from "./relay_choice.ts";
 import type {
@@ -52,7 +53,7 @@
     if (!await covered) return UNCONFIRMED;
     return {
       confirmed: true,
-      clock: Math.max(...tables.map(({ clock }) => clock)),
+      clock: latestClock(tables),
       tables: tables
         .filter(({ version }) => version !== undefined)
         .map((table) => table.changesSince(versions[table.name], askedAt)),
@@ -71,3 +72,12 @@
     this.#isPolling = false;
   }
 }
+
+/** The latest reading of the store's clock, which may go back in a new era. */
+function latestClock(tables: readonly RelayedTable[]): number {
+  const eras = tables.map(({ version }) => eraOf(version ?? 0));
+  const latest = Math.max(...eras);
+  const clocks = tables.filter((_, index) => eras[index] === latest)
+    .map(({ clock }) => clock);
+  return Math.max(...clocks);
+}
--- a/src/plugins/relay/relayed_table.ts
+++ b/src/plugins/relay/relayed_table.ts
@@ -10,7 +10,7 @@
 /** The changes of one table, as passed on by a relay. */
 export interface TableChanges extends RowChanges {
   readonly table: string;
-  /** The store's version up to which the relay knows the table. */
+  /** The store's version up to which the relay knows the table, ordered across eras. */
   readonly version: number;
   /** Time in ms for which the relay's last successful call for the table had run when the question arrived; 0 if it began later. */
   readonly age: number;
@@ -80,9 +80,12 @@
   })),
 });
 
-/** Asks a relay for the changes after the next answer of the store. */
+/**
+ * Asks a relay for the changes after the next answer of the store. Proxies whose
+ * versions have no era use another name.
+ */
 export const RELAY_CHANGES: PeerProcedure<RelayQuestion, RelayAnswer> = {
-  name: "relay.changes",
+  name: "relay.eraChanges",
   input: z.object({
     proxy: z.string(),
     versions: z.record(z.string(), z.number()),
--- a/src/utils/http_transport.ts
+++ b/src/utils/http_transport.ts
@@ -3,7 +3,12 @@
  *
  * @module
  */
-import { Agent, type ClientRequest, request } from "node:http";
+import {
+  Agent,
+  type ClientRequest,
+  type IncomingHttpHeaders,
+  request,
+} from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { clock } from "../kernel/clock.ts";
 import type { Endpoint } from "./endpoint.ts";
@@ -23,6 +28,7 @@
 /** A complete response; `body` is undefined unless it is valid JSON. */
 export interface HttpReply {
   readonly status: number;
+  readonly headers: IncomingHttpHeaders;
   readonly body: unknown;
   /** Monotonic time at which the request was made, in ms. */
   readonly requestedAt: number;
@@ -105,7 +111,9 @@
         incoming.on("aborted", () => fail("response aborted"));
         incoming.on("end", () => {
           clearTimeout(timer);
-          resolve(parseReply(parts, incoming.statusCode ?? 0, requestedAt));
+          const { statusCode: status = 0, headers } = incoming;
+          const body = parseBody(parts);
+          resolve(ok({ status, headers, body, requestedAt }));
         });
       });
       onceConnected(outgoing, () => {
@@ -127,17 +135,13 @@
   });
 }
 
-function parseReply(
-  parts: readonly Buffer[],
-  status: number,
-  requestedAt: number,
-): Result<HttpReply, HttpFailure> {
+/** Parses a body as JSON; error responses need not be JSON, so callers validate a body that they rely on. */
+function parseBody(parts: readonly Buffer[]): unknown {
   const text = Buffer.concat(parts).toString("utf8");
-  if (text === "") return ok({ status, body: undefined, requestedAt });
+  if (text === "") return undefined;
   try {
-    return ok({ status, body: JSON.parse(text), requestedAt });
+    return JSON.parse(text);
   } catch {
-    // Error responses need not be JSON; callers validate a body that they rely on.
-    return ok({ status, body: undefined, requestedAt });
+    return undefined;
   }
 }
--- a/standins/line_group/group.ts
+++ b/standins/line_group/group.ts
@@ -42,6 +42,12 @@
 /** Number of statements that an instance tells of. */
 const RUNS_KEPT = 5_000;
 
+/** How long an old primary goes on once the new one reaches it, in ms; as the platform documents it. */
+const STEP_DOWN_DELAY_MS = 1_000;
+
+/** Interval at which a new primary tries to reach the old one, in ms. */
+const REACH_INTERVAL_MS = 100;
+
 /** How an instance can be reached. */
 export type Reach = "up" | "dead" | "dark";
 
@@ -184,15 +190,18 @@
     return true;
   }
 
-  /** An old primary becomes a replica once it can be reached by the new one. */
+  /** An old primary becomes a replica a while after it can be reached by the new one. */
   #follow(old: Member, primary: Member): void {
+    let reachedAt = Infinity;
     const timer = setInterval(() => {
-      if (old.reach !== "up") return;
+      const now = performance.now();
+      reachedAt = old.reach === "up" ? Math.min(reachedAt, now) : Infinity;
+      if (now - reachedAt < STEP_DOWN_DELAY_MS) return;
       clearInterval(timer);
       if (old.term >= primary.term) return;
       old.role = "replica";
       this.#replicate(primary, old);
-    }, 200);
+    }, REACH_INTERVAL_MS);
   }
 
   #replicate(primary: Member, member: Member): void {
--- a/standins/metadata_store/main.ts
+++ b/standins/metadata_store/main.ts
@@ -19,8 +19,13 @@
   readFlags,
   stopOnSignal,
 } from "../common/daemon.ts";
-import { Rows, type Transaction } from "./rows.ts";
-import { PLATFORM_LIMITS, type StoreAnswer, StoreApi } from "./store_api.ts";
+import { type Copy, Rows, type Transaction } from "./rows.ts";
+import {
+  FOREIGN_TABLES,
+  PLATFORM_LIMITS,
+  type StoreAnswer,
+  StoreApi,
+} from "./store_api.ts";
 
 /** How a door behaves; `busy` answers 503, `many` answers 429. */
 type Mode = "up" | "silent" | "busy" | "many" | "reset" | "lost";
@@ -37,6 +42,11 @@
   ...PLATFORM_LIMITS,
   pageRows: flags["page-rows"],
 });
+/** Delay before the operator and the instances write again what a copy lacks, in ms. */
+const REWRITE_DELAY_MS = 600;
+
+/** The copy that the store comes back from. */
+let copy: Copy | undefined;
 const modes: Mode[] = [];
 /** Control address of each group, for promotions. */
 const groups = new Map<string, string>();
@@ -78,7 +88,7 @@
   if (mode === "lost" && request.method === "POST") {
     return void request.socket.destroy();
   }
-  reply(response, answer.status, answer.body);
+  reply(response, answer.status, answer.body, answer.headers);
 }
 
 async function serveStore(
@@ -120,6 +130,8 @@
     readonly modes?: readonly Mode[];
     readonly groups?: Readonly<Record<string, string>>;
     readonly forget?: boolean;
+    /** `copy` keeps a copy; `restore` comes back from it, with the next era. */
+    readonly drill?: "copy" | "restore";
   };
   if (body?.transaction) rows.apply(body.transaction);
   body?.modes?.forEach((mode, index) => {
@@ -129,12 +141,23 @@
     groups.set(name, address);
   }
   if (body?.forget) rows.forget();
+  if (body?.drill === "copy") copy = rows.copy();
+  if (body?.drill === "restore" && copy) restore(copy);
   reply(response, 200, {
     promotions,
     rows: rows.read("marjoramshed", ""),
   });
 }
 
+/** Comes back from a copy; the operator and the instances write again what it lacks. */
+function restore(from: Copy): void {
+  const lost = FOREIGN_TABLES.map((table) => rows.differenceFrom(from, table));
+  rows.restore(from);
+  setTimeout(() => {
+    for (const transaction of lost) rows.apply(transaction);
+  }, REWRITE_DELAY_MS);
+}
+
 async function readBody(request: IncomingMessage): Promise<unknown> {
   const parts: Buffer[] = [];
   for await (const part of request) parts.push(part);
@@ -142,7 +165,15 @@
   return text === "" ? undefined : JSON.parse(text);
 }
 
-function reply(response: ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { "content-type": "application/json" });
+function reply(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  response.writeHead(status, {
+    "content-type": "application/json",
+    ...headers,
+  });
   response.end(JSON.stringify(body));
 }
--- a/standins/metadata_store/rows.ts
+++ b/standins/metadata_store/rows.ts
@@ -28,11 +28,21 @@
   readonly remove?: readonly Place[];
 }
 
+/** The state of the store at one moment. */
+export interface Copy {
+  readonly rows: ReadonlyMap<string, WireRow>;
+  readonly history: ReadonlyMap<string, readonly WireRow[]>;
+  readonly forgotten: number;
+  readonly version: number;
+}
+
 /** All rows, and the changes of the past. */
 export class Rows {
-  readonly #rows = new Map<string, WireRow>();
+  #rows = new Map<string, WireRow>();
   /** Changes in order, by table. */
-  readonly #history = new Map<string, WireRow[]>();
+  #history = new Map<string, WireRow[]>();
+  /** Raised each time the store comes back from a copy; 0 if its answers don't tell it. */
+  era = 1;
   /** Version up to which the history is gone. */
   #forgotten = 0;
   #version = 0;
@@ -74,7 +84,7 @@
 
   /** Changes of a table after a version; undefined when they are forgotten. */
   changes(table: string, after: number): readonly WireRow[] | undefined {
-    if (after < this.#forgotten) return undefined;
+    if (after < this.#forgotten || after > this.#version) return undefined;
     const history = this.#history.get(table) ?? [];
     let first = history.length;
     while (first > 0 && history[first - 1]!.ver > after) first -= 1;
@@ -102,6 +112,43 @@
     this.#forgotten = this.#version;
   }
 
+  /** Copies the present state. */
+  copy(): Copy {
+    return {
+      rows: new Map(this.#rows),
+      history: new Map(
+        [...this.#history].map(([table, changes]) => [table, [...changes]]),
+      ),
+      forgotten: this.#forgotten,
+      version: this.#version,
+    };
+  }
+
+  /** The changes that lead from a copy to the present rows of a table. */
+  differenceFrom(copy: Copy, table: string): Transaction {
+    const puts = this.read(table, "")
+      .filter((row) => copy.rows.get(keyOf(row))?.value !== row.value)
+      .map(({ key, value }) => ({ table, key, value: value! }));
+    const remove = [...copy.rows.values()]
+      .filter((row) => row.table === table && !this.#rows.has(keyOf(row)))
+      .map(({ key }) => ({ table, key }));
+    return { puts, remove };
+  }
+
+  /** Comes back from a copy; the versions since are given out again. */
+  restore(copy: Copy): void {
+    this.#rows = new Map(copy.rows);
+    this.#history = new Map(
+      [...copy.history].map(([table, changes]) => [table, [...changes]]),
+    );
+    this.#forgotten = copy.forgotten;
+    this.#version = copy.version;
+    this.era += 1;
+    for (const waiters of this.#waiters.values()) {
+      for (const wake of [...waiters]) wake();
+    }
+  }
+
   #note(row: WireRow): void {
     if (row.deleted) this.#rows.delete(keyOf(row));
     else this.#rows.set(keyOf(row), row);
--- a/standins/metadata_store/store_api.ts
+++ b/standins/metadata_store/store_api.ts
@@ -9,6 +9,7 @@
 export interface StoreAnswer {
   readonly status: number;
   readonly body: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 /** Limits of the calls. */
@@ -38,7 +39,7 @@
 };
 
 /** Tables that only the operator and the instances write. */
-const FOREIGN_TABLES: ReadonlySet<string> = new Set(["op", "servers"]);
+export const FOREIGN_TABLES: readonly string[] = ["op", "servers"];
 
 /** Serves the calls of the system on one set of rows. */
 export class StoreApi {
@@ -52,6 +53,13 @@
 
   /** Serves a call; undefined for a path that the store does not have. */
   async serve(url: URL, body: unknown): Promise<StoreAnswer | undefined> {
+    const answer = await this.#serve(url, body);
+    const { era } = this.#rows;
+    if (!answer || era === 0) return answer;
+    return { ...answer, headers: { "Store-Era": String(era) } };
+  }
+
+  async #serve(url: URL, body: unknown): Promise<StoreAnswer | undefined> {
     const { searchParams } = url;
     const table = searchParams.get("table") ?? "";
     switch (url.pathname) {
@@ -75,7 +83,7 @@
   #apply(transaction: Transaction): StoreAnswer {
     const { precondition = [], puts = [], remove = [] } = transaction;
     const written = [...puts, ...remove];
-    if (written.some(({ table }) => FOREIGN_TABLES.has(table))) {
+    if (written.some(({ table }) => FOREIGN_TABLES.includes(table))) {
       return { status: 403, body: {} };
     }
     const entries = precondition.length + written.length;
--- a/test/platform/malformed_messages_test.ts
+++ b/test/platform/malformed_messages_test.ts
@@ -45,7 +45,7 @@
       });
       await new Promise<void>((resolve) => server.listen(0, ADDRESS, resolve));
       const { port } = server.address() as AddressInfo;
-      const store = new StoreClient({ host: ADDRESS, port });
+      const store = new StoreClient({ host: ADDRESS, port }, log);
       cleanups.push(() => {
         store.stop();
         server.closeAllConnections();
--- a/test/platform/soak_test.ts
+++ b/test/platform/soak_test.ts
@@ -15,6 +15,16 @@
     expect(report.violations).toEqual([]);
   });
 
+  it("breaks no promise while the store comes back from copies", async () => {
+    const report = await runSoak({
+      ...{ seed: 3601, seconds: 16, hosts: 3 },
+      drills: true,
+    });
+    expect(report.violations).toEqual([]);
+    expect(report.schedule.some((line) => line.includes("drill")))
+      .toEqual(true);
+  });
+
   // Before ages were measured by a clock that counts suspensions, a host read too old data with this seed.
   it("breaks no promise while hosts are suspended in series", async () => {
     const report = await runSoak({
--- a/test/platform/store_client_test.ts
+++ b/test/platform/store_client_test.ts
@@ -8,6 +8,7 @@
 import { StoreRetry } from "../../platform/store_retry.ts";
 import { clock } from "../../src/kernel/clock.ts";
 import { createEventLog } from "../../src/kernel/events.ts";
+import { joinEra } from "../../src/plugins/leadership/store_era.ts";
 import { StoreGate } from "../../src/plugins/relay/store_gate.ts";
 import { Rows } from "../../standins/metadata_store/rows.ts";
 import {
@@ -53,7 +54,7 @@
       });
       const url = new URL(request.url!, "http://store");
       const answer = await api.serve(url, await readBody(request));
-      response.writeHead(answer!.status);
+      response.writeHead(answer!.status, answer!.headers);
       response.end(JSON.stringify(answer!.body));
     }).listen(0, "127.0.0.1");
     await once(server, "listening");
@@ -64,7 +65,10 @@
     onCall = () => {};
     for (const key of ["a", "b", "c", "d", "e", "f", "g"]) put(key, "old");
     const { port } = server.address() as AddressInfo;
-    client = new StoreClient({ host: "127.0.0.1", port });
+    client = new StoreClient(
+      { host: "127.0.0.1", port },
+      createEventLog("silent", {}),
+    );
   });
   after(() => {
     server.closeAllConnections();
@@ -86,7 +90,7 @@
         put("a", "new");
       };
       const reply = (await client.read(TABLE))._unsafeUnwrap();
-      expect(reply.version).toEqual(7);
+      expect(reply.version).toEqual(joinEra(rows.era, 7));
       expect(reply.requestedAt < secondAt).toEqual(true);
     });
 
@@ -135,7 +139,7 @@
     rows.apply({ puts: [{ table: TABLE, part: "p", key: "b", value: "" }] });
     const changes = (await client.feed(TABLE, version, 0))._unsafeUnwrap();
     expect(changes.rows).toEqual([]);
-    expect(changes.version).toEqual(version + 3);
+    expect(changes.version).toEqual(joinEra(rows.era, version + 3));
     const all = (await client.read(TABLE))._unsafeUnwrap();
     expect(all.rows.map(({ key }) => key)).toEqual([..."abcdefg"]);
   });
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run soak -- --seed 1 --seconds 20 --runs 1 --hosts 3 --suspensions`: the
+ * `npm run soak -- --seed 1 --seconds 20 --runs 1 --hosts 3 --suspensions --drills`: the
  * soak by hand; seeds follow one another, the exit code is 1 when anything was
  * broken.
  *
@@ -15,6 +15,7 @@
     runs: { type: "string", default: "1" },
     hosts: { type: "string", default: "3" },
     suspensions: { type: "boolean", default: false },
+    drills: { type: "boolean", default: false },
   },
 });
 
@@ -24,6 +25,7 @@
     seconds: Number(values.seconds),
     hosts: Number(values.hosts),
     suspensions: values.suspensions,
+    drills: values.drills,
   });
   const { schedule, ...rest } = report;
   console.log(JSON.stringify(rest));
--- a/test/soak/platform_soak.ts
+++ b/test/soak/platform_soak.ts
@@ -33,6 +33,8 @@
   readonly hosts: number;
   /** Whether hosts are suspended and replicas receive nothing for a while, too. */
   readonly suspensions?: boolean;
+  /** Whether the store comes back from copies. */
+  readonly drills?: boolean;
 }
 
 const WRITERS = 6;
@@ -44,6 +46,11 @@
 /** Kinds of faults, without and with suspensions. */
 const LAST_KIND = 6;
 const LAST_KIND_WITH_SUSPENSIONS = 8;
+/** The kind of a drill, drawn as the one behind the others. */
+const DRILL_KIND = 9;
+
+/** Longest time for which the store is away in a drill, in ms. */
+const DRILL_AWAY_MAX_MS = 1_200;
 
 /** Number and lengths of the suspensions in a series, and the longest time between two of them, in ms. */
 const SUSPENSIONS_MIN = 20;
@@ -127,6 +134,7 @@
   #acknowledged = 0;
   #reads = 0;
   #over = false;
+  #isDrilling = false;
 
   constructor(deployment: Deployment, options: SoakOptions) {
     this.#deployment = deployment;
@@ -173,10 +181,7 @@
     ]!;
     const duration = this.#draw(300, FAULT_MAX_MS);
     const instance = `i-ledger-${this.#draw(0, 2)}`;
-    const kind = this.#draw(
-      0,
-      this.#options.suspensions ? LAST_KIND_WITH_SUSPENSIONS : LAST_KIND,
-    );
+    const kind = this.#drawKind();
     const restarts = kind === 3 || kind === 4;
     if (restarts && this.#restarting.has(host.name)) return;
     if (kind <= 4 && kind >= 2 && this.#suspended.has(host.name)) return;
@@ -216,6 +221,8 @@
       case 4:
         note(`stop ${host.name}`);
         return await this.#restart(host, () => this.#stop(host));
+      case DRILL_KIND:
+        return await this.#drill(duration);
       case 7:
         note(`suspend ${host.name}`);
         return await this.#suspend(host, () => host.suspend(duration));
@@ -250,6 +257,29 @@
     }
   }
 
+  #drawKind(): number {
+    const { suspensions, drills } = this.#options;
+    const last = suspensions ? LAST_KIND_WITH_SUSPENSIONS : LAST_KIND;
+    const kind = this.#draw(0, drills ? last + 1 : last);
+    return kind > last ? DRILL_KIND : kind;
+  }
+
+  /** Lets the store come back from a copy of chosen age; one drill at a time. */
+  async #drill(age: number): Promise<void> {
+    if (this.#isDrilling) return;
+    this.#isDrilling = true;
+    const away = this.#draw(0, DRILL_AWAY_MAX_MS);
+    this.#schedule.push(
+      `${
+        Math.round(this.#elapsed())
+      } drill with a copy of ${age}, away ${away}`,
+    );
+    await this.#deployment.copyStore();
+    await sleep(age);
+    await this.#deployment.restoreStore(away);
+    this.#isDrilling = false;
+  }
+
   async #restart(host: Host, work: () => Promise<void>): Promise<void> {
     this.#restarting.add(host.name);
     await work();
