--- a/src/plugins/deployment/instance_directory.ts
+++ b/src/plugins/deployment/instance_directory.ts
@@ -41,8 +41,16 @@
 /** How long an instance that has left is remembered, in ms; a list comes back from a copy that is seconds old. */
 const FORMER_RETENTION_MS = 60_000;
 
+/** Longest time until this proxy reads that an instance is leaving, in ms: a pause between two reads, and the interval of a relay. */
+const LEAVING_NOTICE_MS = 2_700;
+
+/** Time before an instance's last moment at which nothing more is sent to it, in ms; covers what is in transit. */
+const LAST_SEND_MARGIN_MS = 300;
+
 interface Entry {
   readonly instance: ListedInstance;
+  /** Monotonic ms at which this run of the instance was first seen to be leaving. */
+  readonly leavingSince?: number;
   /** Monotonic ms at which the entry disappeared from the list. */
   lapsedAt?: number;
 }
@@ -62,6 +70,8 @@
   #returnsUntil = -Infinity;
   readonly #listeners = new Set<DirectoryListener>();
   #loaded = false;
+  /** Time in ms for which an instance that is leaving accepts work. */
+  drainTimeout = Infinity;
 
   /** Whether the list has been read at least once. */
   get loaded(): boolean {
@@ -69,8 +79,15 @@
   }
 
   /** Adds or updates one entry. */
-  put(instance: ListedInstance): void {
-    this.#entries.set(instance.id, { instance });
+  put(instance: ListedInstance, now = clock.now()): void {
+    const { id, startedAt, leaving } = instance;
+    const known = this.#entries.get(id);
+    const isSameRun = known?.instance.startedAt === startedAt;
+    const since = isSameRun ? known?.leavingSince : undefined;
+    this.#entries.set(
+      id,
+      leaving ? { instance, leavingSince: since ?? now } : { instance },
+    );
     for (const listener of this.#listeners) listener(instance);
   }
 
@@ -146,6 +163,14 @@
     return this.#entries.get(id)?.instance;
   }
 
+  /** Whether the time for which an instance that is leaving accepts work may be over. */
+  isDrained(id: string, now = clock.now()): boolean {
+    const since = this.#entries.get(id)?.leavingSince;
+    return since !== undefined &&
+      now - since >
+        this.drainTimeout - LEAVING_NOTICE_MS - LAST_SEND_MARGIN_MS;
+  }
+
   /** Whether the instance is in the current list, that is, its entry has not lapsed. */
   isListed(id: string): boolean {
     const entry = this.#entries.get(id);
--- a/src/plugins/leadership/group_leadership.ts
+++ b/src/plugins/leadership/group_leadership.ts
@@ -143,7 +143,19 @@
     if (!instance) return undefined;
     const epoch = this.#epochOf(instance);
     if (epoch !== this.#lastEpoch) this.#startEpoch(epoch);
-    return this.#replaced ? undefined : { instance, epoch };
+    if (this.#replaced || this.isDrained(instance)) return undefined;
+    return { instance, epoch };
+  }
+
+  /**
+   * Whether an instance has been leaving for so long that it gets no more work.
+   * A proxy that the store doesn't answer goes on, since nobody could replace a
+   * primary for it.
+   */
+  isDrained(instance: string): boolean {
+    const { coordination, directory } = this.#options;
+    return directory.isDrained(instance) &&
+      clock.now() - coordination.confirmedAt < LEASE_MS;
   }
 
   /** Expected time until a leader is usable, in ms; undefined if unknown. */
--- a/src/plugins/leadership/plugin.ts
+++ b/src/plugins/leadership/plugin.ts
@@ -13,6 +13,7 @@
   serveProbes,
 } from "./peer_procedures.ts";
 import { Succession } from "./succession.ts";
+import { WriteDelegation } from "./write_delegation.ts";
 
 declare module "../../kernel/kernel.ts" {
   interface Services {
@@ -23,6 +24,7 @@
     coordination: Coordination;
     promotionOrder: PromotionOrder;
     groupNotices: GroupNotices;
+    writeDelegation: WriteDelegation;
     rounds: InstanceRounds;
     succession: Succession;
     hostWatch: HostWatch;
@@ -35,6 +37,18 @@
   create: ({ use }) => new GroupNotices(use("peers")),
 });
 
+registerPlugin({
+  name: "writeDelegation",
+  needs: ["place", "peers"],
+  create: ({ log, use }) =>
+    new WriteDelegation({
+      proxy: use("place").proxy,
+      zone: use("place").zone,
+      peers: use("peers"),
+      log,
+    }),
+});
+
 registerPlugin({
   name: "rounds",
   needs: ["directory", "pools"],
--- a/src/plugins/leadership/primary_change.ts
+++ b/src/plugins/leadership/primary_change.ts
@@ -55,6 +55,9 @@
  */
 const FIRST_STATUS_DELAY_MS = 200;
 
+/** How long a change goes on whose order can't be sent, in ms; another proxy may reach the platform. */
+const UNSENT_ORDER_LIMIT_MS = 1_500;
+
 /** Delay before the row that ends the change is written again after a failure, in ms. */
 const FINISH_RETRY_DELAY_MS = 150;
 
@@ -240,6 +243,8 @@
       candidate.status.role === "primary" &&
       candidate.status.term > this.#record!.term
     ) return candidate.status.term;
+    const startedAt = clock.now();
+    let wasSent = false;
     while (this.#mayOrder()) {
       const reply = await order.promote(
         {
@@ -259,6 +264,12 @@
         reason: "reason" in reply ? reply.reason : undefined,
       });
       if (reply.kind === "rejected") return undefined;
+      wasSent ||= reply.kind !== "not sent";
+      // An order that was sent may still arrive, with a lower token than that of another proxy.
+      if (!wasSent && clock.now() - startedAt > UNSENT_ORDER_LIMIT_MS) {
+        await this.#giveUp();
+        return "lost";
+      }
       if (reply.kind !== "not sent") {
         const timeout = reply.kind === "accepted"
           ? Infinity
@@ -272,6 +283,22 @@
     return "lost";
   }
 
+  /** Lets another proxy take over the change at once. */
+  async #giveUp(): Promise<void> {
+    const { coordination, leadership } = this.#options;
+    const record = {
+      ...this.#record!,
+      expiresAt: Math.round(coordination.clock()),
+      operation: randomUUID(),
+    };
+    const written = await coordination
+      .putGroup(leadership.group, this.#version, record);
+    this.#write(Events.CHANGE_GIVEN_UP, {
+      version: this.#version,
+      outcome: written.isOk() ? "done" : written.error.kind,
+    });
+  }
+
   /** Waits until an instance leads under a higher term, at most until a time (monotonic ms). */
   async #waitForTerm(id: string, until: number): Promise<number | undefined> {
     const { directory } = this.#options;
--- a/src/plugins/sessions/link_run.ts
+++ b/src/plugins/sessions/link_run.ts
@@ -3,8 +3,12 @@
  *
  * @module
  */
-import type { ResultAsync } from "neverthrow";
-import type { Failure } from "../../kernel/result_codes.ts";
+import { err, ok, type ResultAsync } from "neverthrow";
+import {
+  createFailure,
+  type Failure,
+  ResultCodes,
+} from "../../kernel/result_codes.ts";
 import type { LinkRequest } from "../connections/link_pools.ts";
 import type {
   Answer,
@@ -26,12 +30,24 @@
   return { instance, account: name, priority, rank, deadline, usefulUntil };
 }
 
-/** Acquires a link to an instance. */
+/** Acquires a link to an instance; fails if the instance takes no more work by then, since it is leaving. */
 export function acquireLink(
   task: Task,
   instance: string,
 ): ResultAsync<UpstreamLink, Failure> {
-  return task.context.pools.acquire(linkRequest(task, instance));
+  const { context, route } = task;
+  const leadership = context.succession.leadership(route.group);
+  return context.pools.acquire(linkRequest(task, instance))
+    .andThen((link) => {
+      if (!leadership.isDrained(instance)) return ok(link);
+      link.release();
+      return err(
+        createFailure(
+          ResultCodes.UPSTREAM_UNREACHABLE,
+          `${instance} is leaving`,
+        ),
+      );
+    });
 }
 
 /** Runs a statement with its session's state applied. */
--- a/test/platform/leadership_test.ts
+++ b/test/platform/leadership_test.ts
@@ -170,6 +170,52 @@
     });
   });
 
+  // Guards against work for an instance that has been leaving for longer than it takes any (review/10).
+  describe("of an instance that is leaving", () => {
+    const DRAIN_MS = 7_000;
+    const leaving = { ...instance("p", true), leaving: true };
+
+    function createLeaving() {
+      const proxy = createProxy("a", new FakeStore());
+      proxy.directory.drainTimeout = DRAIN_MS;
+      proxy.directory.put(leaving);
+      return proxy;
+    }
+
+    it("goes on for a change of primary, and ends before the instance takes no more work", async () => {
+      const { coordination, leadership, directory } = createLeaving();
+      let usableFor = 0;
+      for (let elapsed = 0; elapsed < DRAIN_MS; elapsed += 100) {
+        await sleep(100);
+        coordination.receive();
+        // Heartbeats don't begin the time anew.
+        directory.put(leaving);
+        if (leadership.current()) usableFor = elapsed + 100;
+      }
+      expect(usableFor >= 3_500).toEqual(true);
+      // The instance may have been leaving for 2.7 s when this proxy read it.
+      expect(usableFor <= DRAIN_MS - 2_700).toEqual(true);
+      expect(leadership.isDrained("p")).toEqual(true);
+      expect(leadership.isDrained("r1")).toEqual(false);
+    });
+
+    it("goes on while the store does not answer, since nobody could replace it", async () => {
+      const proxy = createLeaving();
+      expireLease(proxy);
+      await sleep(DRAIN_MS);
+      expect(proxy.leadership.current()?.instance).toEqual("p");
+    });
+
+    it("begins anew with the next run of the instance", async () => {
+      const { coordination, directory, leadership } = createLeaving();
+      await sleep(DRAIN_MS);
+      coordination.receive();
+      expect(leadership.current()).toEqual(undefined);
+      directory.put({ ...instance("p", true), startedAt: 9 });
+      expect(leadership.current()?.instance).toEqual("p");
+    });
+  });
+
   it("ends when the leader reports a later term than its own", () => {
     const { leadership } = createProxy("a", new FakeStore());
     const leader = leadership.current()!;
@@ -215,6 +261,8 @@
     readonly connectFailureDelay?: number;
     /** Instances whose answer to a pause is lost. */
     readonly lostPauses?: readonly string[];
+    /** Outcomes of the first orders, which have no effect. */
+    readonly failedOrders?: readonly ("not sent" | "unsettled")[];
   }) {
     const store = new FakeStore();
     const proxy = createProxy("a", store);
@@ -262,6 +310,10 @@
       order: {
         promote: ({ instance, token }, _, mayStillSend) => {
           orders.push(`${instance} ${token} ${mayStillSend()}`);
+          const failed = options.failedOrders?.[orders.length - 1];
+          if (failed) {
+            return sleep(1_000).then(() => ({ kind: failed, reason: "cut" }));
+          }
           statuses[instance] = status(9, "primary", 2);
           return Promise.resolve({ kind: "accepted" });
         },
@@ -338,6 +390,29 @@
     expect(store.groups.get("ledger")!.value.phase).toEqual("steady");
   });
 
+  // Guards against a change that waits for its expiry at a proxy that can't reach the platform.
+  it("is given up if its order can't be sent, so that another proxy goes on", async () => {
+    const { store, change, orders } = createChange({
+      failedOrders: ["not sent", "not sent", "not sent"],
+    });
+    const startedAt = clock.now();
+    expect(await change.run()).toEqual("lost");
+    expect(orders.length).toEqual(2);
+    expect(clock.now() - startedAt < 4_000).toEqual(true);
+    const { value } = store.groups.get("ledger")!;
+    expect(value.phase).toEqual("changing");
+    expect(value.expiresAt <= clock.now()).toEqual(true);
+  });
+
+  // Guards against an order that arrives after another proxy's with a higher token.
+  it("is not given up once an order was sent", async () => {
+    const { change, orders } = createChange({
+      failedOrders: ["unsettled", "not sent"],
+    });
+    expect(await change.run()).toEqual("changed");
+    expect(orders.length).toEqual(3);
+  });
+
   it("is abandoned when another proxy has just received an answer of the primary", async () => {
     const { store, change, orders } = createChange({
       setUpOthers: (shared) => {
--- a/test/platform/store_coordination_test.ts
+++ b/test/platform/store_coordination_test.ts
@@ -78,6 +78,9 @@
         announce: () => {},
         acknowledge: () => Promise.resolve(false),
       },
+      delegation: {
+        delegate: () => Promise.resolve({ kind: "failed" }),
+      },
       log,
     });
   }
--- a/test/platform/store_eras_test.ts
+++ b/test/platform/store_eras_test.ts
@@ -293,6 +293,9 @@
           announce: () => {},
           acknowledge: () => Promise.resolve(false),
         },
+        delegation: {
+          delegate: () => Promise.resolve({ kind: "failed" }),
+        },
         log,
       });
     }
