--- a/src/plugins/deployment/routes.ts
+++ b/src/plugins/deployment/routes.ts
@@ -38,6 +38,8 @@
   readonly name: string;
   /** Connections that an instance accepts from all proxies together. */
   readonly connectionsPerInstance: number;
+  /** Replicas that have received a commit before it is acknowledged; undefined if the configuration doesn't say. */
+  readonly synchronousReplicas?: number;
 }
 
 /** An entry of the configuration that is not used. */
--- a/src/plugins/leadership/candidate_search.ts
+++ b/src/plugins/leadership/candidate_search.ts
@@ -29,6 +29,9 @@
 /** Longest wait for a candidate of a planned change to receive the rest of the log, in ms. */
 const CATCH_UP_TIMEOUT_MS = 1_500;
 
+/** Longest wait for a candidate before a planned change begins, in ms: replicas receive a commit within a crossing between regions. */
+const READY_TIMEOUT_MS = 150;
+
 /** Number of attempts to resume a replica, each after the time of one request. */
 const RESUME_ATTEMPT_COUNT = 4;
 
@@ -59,6 +62,10 @@
   readonly planned: boolean;
   /** Whether the old primary is asked to step down, because some proxies may still use it. */
   readonly fencesPrimary: boolean;
+  /** Whether all listed instances have to answer, because one of them alone may have a commit that was acknowledged. */
+  readonly hearsAll: boolean;
+  /** Whether the change may go on. */
+  readonly mayContinue: () => boolean;
 }
 
 /** Finds the candidates of one group for one change of primary. */
@@ -71,35 +78,29 @@
     this.#options = options;
   }
 
+  /** Whether a planned change would lose nothing now: a replica that is not leaving has received what the primary has. */
+  isReady(primary: string | undefined): Promise<boolean> {
+    const { group, directory } = this.#options;
+    const others = directory.group(group).filter(({ id }) => id !== primary);
+    return this.#waitForCatchUp(primary, others, READY_TIMEOUT_MS);
+  }
+
   /**
-   * Pauses the other instances and returns those that answered: instances that
-   * are not leaving first, and among these the most advanced log first.
+   * Pauses the other instances and returns those that answered, the most
+   * advanced log first, and among equal logs an instance that is not leaving.
+   * Returns none for a planned change that would lose a commit.
    */
   async find(handover: Handover): Promise<readonly Candidate[]> {
-    const { primary, term, fencesPrimary } = handover;
+    const { primary, term, planned, fencesPrimary } = handover;
     const { group, directory, log } = this.#options;
     const others = directory.group(group).filter(({ id }) => id !== primary);
-    if (handover.planned) await this.#waitForCatchUp(primary, others);
+    const isCaughtUp = !planned ||
+      await this.#waitForCatchUp(primary, others, CATCH_UP_TIMEOUT_MS);
+    if (!isCaughtUp) return [];
     const stepDown = fencesPrimary ? this.#stepDown(primary, term) : undefined;
-    this.#paused = others.map(({ id }) => id);
-    const answers = await Promise.all(others.map(async (instance) => {
-      const status = await this.#request(
-        instance,
-        (link, at) => link.pause(term, at),
-      );
-      return { instance, status };
-    }));
+    const candidates = await this.#pauseAll(handover, others);
     // A reachable primary answers within this time; an unreachable one must not delay the change.
     if (stepDown) await Promise.race([stepDown, sleep(STEP_DOWN_TIMEOUT_MS)]);
-    const candidates = answers.flatMap(({ instance, status }) =>
-      status.isOk()
-        ? [{ id: instance.id, status: status.value, leaving: instance.leaving }]
-        : []
-    );
-    candidates.sort((a, b) => {
-      if (a.leaving !== b.leaving) return a.leaving ? 1 : -1;
-      return comparePositions(b.status.received, a.status.received);
-    });
     log.write(Events.CANDIDATES_FOUND, {
       group,
       asked: others.length,
@@ -111,6 +112,40 @@
     return candidates;
   }
 
+  /**
+   * Pauses instances. Where commits wait for replicas, a listed one that doesn't
+   * answer may be the only one to have a commit, so it is asked until it answers
+   * or is no longer listed, or the change may not go on.
+   */
+  async #pauseAll(
+    { term, hearsAll, mayContinue }: Handover,
+    others: readonly ListedInstance[],
+  ): Promise<readonly Candidate[]> {
+    const { directory } = this.#options;
+    this.#paused = others.map(({ id }) => id);
+    const found = new Map<string, Candidate & { readonly leaving: boolean }>();
+    for (;;) {
+      const unheard = others.filter(({ id }) =>
+        !found.has(id) && directory.get(id) !== undefined
+      );
+      await Promise.all(unheard.map(async (instance) => {
+        const { id, leaving } = instance;
+        const status = await this.#request(
+          instance,
+          (link, at) => link.pause(term, at),
+        );
+        if (status.isOk()) found.set(id, { id, status: status.value, leaving });
+      }));
+      const isComplete = unheard.every(({ id }) => found.has(id));
+      if (!hearsAll || isComplete || !mayContinue()) break;
+      await sleep(POLL_INTERVAL_MS);
+    }
+    return [...found.values()].sort((a, b) =>
+      comparePositions(b.status.received, a.status.received) ||
+      Number(a.leaving) - Number(b.leaving)
+    );
+  }
+
   /** Reads the role and the log position of an instance. */
   status(
     instance: ListedInstance,
@@ -144,16 +179,20 @@
     }
   }
 
-  /** Waits until one replica has received the primary's whole log, so that a planned change loses no data. */
+  /**
+   * Waits until a replica that is not leaving has received the primary's whole
+   * log; returns whether one has, or the primary doesn't tell what it has.
+   */
   async #waitForCatchUp(
-    primary: string,
+    primary: string | undefined,
     others: readonly ListedInstance[],
-  ): Promise<void> {
-    const leader = this.#options.directory.get(primary);
-    if (!leader) return;
+    timeout: number,
+  ): Promise<boolean> {
+    const leader = primary && this.#options.directory.get(primary);
+    if (!leader) return true;
     const leaderStatus = await this.status(leader);
-    if (leaderStatus.isErr()) return;
-    const until = clock.now() + CATCH_UP_TIMEOUT_MS;
+    if (leaderStatus.isErr()) return true;
+    const until = clock.now() + timeout;
     const usable = others.filter(({ leaving }) => !leaving);
     while (clock.now() < until) {
       const answers = await Promise.all(
@@ -164,9 +203,10 @@
         comparePositions(status.value.received, leaderStatus.value.received) >=
           0
       );
-      if (isCaughtUp) return;
+      if (isCaughtUp) return true;
       await sleep(POLL_INTERVAL_MS);
     }
+    return false;
   }
 
   /** Asks the old primary to step down, in case it is still alive. */
--- a/src/plugins/leadership/primary_change.ts
+++ b/src/plugins/leadership/primary_change.ts
@@ -15,7 +15,7 @@
 import { sleep } from "../../utils/sleep.ts";
 import type { LinkProvider } from "../connections/link_pools.ts";
 import type { InstanceDirectory } from "../deployment/instance_directory.ts";
-import { formatPosition } from "../upstream/position.ts";
+import { comparePositions, formatPosition } from "../upstream/position.ts";
 import {
   type Candidate,
   CandidateSearch,
@@ -70,6 +70,8 @@
   readonly directory: InstanceDirectory;
   readonly pools: LinkProvider;
   readonly order: PromotionOrder;
+  /** Replicas of the group that have received a commit before it is acknowledged. */
+  readonly synchronousReplicas: number;
   readonly log: EventLog;
 }
 
@@ -80,8 +82,11 @@
   readonly text: string;
 }
 
-/** Outcome of a change; `lost` means that this proxy could not start it or may not continue it. */
-export type ChangeOutcome = "changed" | "abandoned" | "lost";
+/**
+ * Outcome of a change; `lost` means that this proxy could not start it or may not
+ * continue it, `postponed` that it was not started since no replica was ready.
+ */
+export type ChangeOutcome = "changed" | "abandoned" | "lost" | "postponed";
 
 /** Carries out one change of one group's primary. */
 export class PrimaryChange {
@@ -111,6 +116,12 @@
   }
 
   async #run(): Promise<ChangeOutcome> {
+    const { leadership, synchronousReplicas } = this.#options;
+    const { planned } = this.#reason;
+    // Work stops for as long as the change lasts, so the replicas are asked before.
+    if (planned && !await this.#search.isReady(leadership.primary)) {
+      return "postponed";
+    }
     if (!await this.#announce()) return "lost";
     const unheard = await this.#waitForAcknowledgements();
     if (!this.#reason.planned && this.#isPrimaryHeardByOthers()) {
@@ -120,12 +131,17 @@
     const candidates = await this.#search.find({
       primary: this.#record!.primary,
       term: this.#record!.term + 1,
-      planned: this.#reason.planned,
+      planned,
       fencesPrimary: unheard.length > 0,
+      hearsAll: synchronousReplicas > 0,
+      mayContinue: () => this.#mayOrder(),
     });
-    for (const candidate of candidates) {
+    for (const [index, candidate] of candidates.entries()) {
       const promoted = await this.#promote(candidate);
       if (promoted === "lost") return "lost";
+      if (promoted === undefined && this.#isOnlyHolder(candidates, index)) {
+        break;
+      }
       if (promoted !== undefined) {
         await this.#finish(candidate.id, promoted);
         await this.#search.resume(candidate.id);
@@ -140,6 +156,14 @@
     return "abandoned";
   }
 
+  /** Whether a candidate that can't be promoted may be the only one to have a commit that was acknowledged. */
+  #isOnlyHolder(candidates: readonly Candidate[], index: number): boolean {
+    const next = candidates[index + 1];
+    if (!next || this.#options.synchronousReplicas === 0) return false;
+    const { received } = candidates[index]!.status;
+    return comparePositions(next.status.received, received) < 0;
+  }
+
   /** Writes the row that announces the change to all proxies. */
   async #announce(): Promise<boolean> {
     const { leadership, coordination, proxy } = this.#options;
--- a/src/plugins/leadership/succession.ts
+++ b/src/plugins/leadership/succession.ts
@@ -43,6 +43,13 @@
 /** Delay after an abandoned or lost change before this proxy retries, in ms. */
 const RETRY_AFTER_MS = 2_500;
 
+/**
+ * Delay before a planned change is tried again that no replica was ready for, in
+ * ms: the least, and the time for each proxy, since all of them ask the instances.
+ */
+const POSTPONED_RETRY_MIN_MS = 300;
+const POSTPONED_RETRY_PER_PROXY_MS = 30;
+
 /** Dependencies of the succession service. */
 export interface SuccessionOptions {
   /** Name of this proxy. */
@@ -295,10 +302,16 @@
         directory,
         pools,
         order,
+        synchronousReplicas: this.#synchronousReplicas(group),
         log,
       }, reason);
       const outcome = await change.run();
-      if (outcome !== "changed") {
+      if (outcome === "postponed") {
+        group.notBefore = clock.now() + Math.max(
+          POSTPONED_RETRY_MIN_MS,
+          POSTPONED_RETRY_PER_PROXY_MS * coordination.hosts().size,
+        );
+      } else if (outcome !== "changed") {
         group.notBefore = clock.now() + RETRY_AFTER_MS;
         group.detector.reset();
       }
@@ -311,6 +324,11 @@
     }
   }
 
+  #synchronousReplicas({ leadership }: Group): number {
+    const settings = this.#options.routes.table?.groups.get(leadership.group);
+    return settings?.synchronousReplicas ?? 0;
+  }
+
   async #probe(
     primary: string | undefined,
   ): Promise<Result<void, "refused" | "silent">> {
--- a/test/platform/leadership_test.ts
+++ b/test/platform/leadership_test.ts
@@ -263,6 +263,9 @@
     readonly lostPauses?: readonly string[];
     /** Outcomes of the first orders, which have no effect. */
     readonly failedOrders?: readonly ("not sent" | "unsettled")[];
+    /** Instances that are not running, which the platform doesn't promote. */
+    readonly notRunning?: readonly string[];
+    readonly synchronousReplicas?: number;
   }) {
     const store = new FakeStore();
     const proxy = createProxy("a", store);
@@ -310,6 +313,9 @@
       order: {
         promote: ({ instance, token }, _, mayStillSend) => {
           orders.push(`${instance} ${token} ${mayStillSend()}`);
+          if (options.notRunning?.includes(instance)) {
+            return Promise.resolve({ kind: "rejected", reason: "gone" });
+          }
           const failed = options.failedOrders?.[orders.length - 1];
           if (failed) {
             return sleep(1_000).then(() => ({ kind: failed, reason: "cut" }));
@@ -318,6 +324,7 @@
           return Promise.resolve({ kind: "accepted" });
         },
       },
+      synchronousReplicas: options.synchronousReplicas ?? 0,
       log,
     }, { planned: options.planned ?? false, text: "test" });
     return { store, proxy, change, orders, calls, statuses };
@@ -482,4 +489,102 @@
     expect(await change.run()).toEqual("lost");
     expect(orders).toEqual([]);
   });
+
+  // Guards against an instance that is preferred for another reason than its log, and lacks what was acknowledged (review/7).
+  describe("to an instance that is ahead", () => {
+    const drain = ({ proxy }: ReturnType<typeof createChange>, id: string) =>
+      proxy.directory.put({ ...instance(id), leaving: true });
+
+    for (const synchronousReplicas of [0, 1]) {
+      it(`promotes it although it is leaving, with ${synchronousReplicas} synchronous replicas`, async () => {
+        const setUp = createChange({ synchronousReplicas });
+        drain(setUp, "r2");
+        expect(await setUp.change.run()).toEqual("changed");
+        expect(setUp.orders.map((order) => order.slice(0, 2))).toEqual(["r2"]);
+      });
+    }
+
+    it("promotes the one that is not leaving if the logs are equal", async () => {
+      const setUp = createChange({});
+      setUp.statuses["r1"] = status(9);
+      drain(setUp, "r2");
+      expect(await setUp.change.run()).toEqual("changed");
+      expect(setUp.orders.map((order) => order.slice(0, 2))).toEqual(["r1"]);
+    });
+
+    it("promotes no other one if it is not running and commits wait for a replica", async () => {
+      const setUp = createChange({
+        synchronousReplicas: 1,
+        notRunning: ["r2"],
+      });
+      expect(await setUp.change.run()).toEqual("abandoned");
+      expect(setUp.orders.length).toEqual(1);
+    });
+
+    it("promotes the next one if it is not running and commits wait for none", async () => {
+      const setUp = createChange({ notRunning: ["r2"] });
+      expect(await setUp.change.run()).toEqual("changed");
+      expect(setUp.orders.length).toEqual(2);
+    });
+
+    it("asks a silent one until it answers if commits wait for a replica", async () => {
+      const lostPauses = ["r2"];
+      const setUp = createChange({ synchronousReplicas: 1, lostPauses });
+      setTimeout(() => lostPauses.pop(), 2_000);
+      expect(await setUp.change.run()).toEqual("changed");
+      expect(setUp.orders.map((order) => order.slice(0, 2))).toEqual(["r2"]);
+    });
+
+    it("asks a silent one for as long as it is listed if commits wait for a replica", async () => {
+      const setUp = createChange({
+        synchronousReplicas: 1,
+        lostPauses: ["r2"],
+      });
+      const { directory } = setUp.proxy;
+      setTimeout(() => {
+        directory.remove("r2");
+        directory.sweep(clock.now() + 60_000);
+      }, 3_000);
+      expect(await setUp.change.run()).toEqual("changed");
+      expect(setUp.orders.map((order) => order.slice(0, 2))).toEqual(["r1"]);
+    });
+  });
+
+  // Guards against a planned change that loses what a replica has not received.
+  describe("that is planned", () => {
+    function createPlanned(received: number) {
+      const setUp = createChange({ planned: true });
+      setUp.statuses["p"] = status(9, "primary");
+      setUp.statuses["r1"] = status(received);
+      setUp.proxy.directory.put({ ...instance("r2"), leaving: true });
+      return setUp;
+    }
+
+    it("is not begun while only a leaving replica has the whole log", async () => {
+      const { store, change, orders } = createPlanned(7);
+      expect(await change.run()).toEqual("postponed");
+      expect(orders).toEqual([]);
+      expect(store.groups.get("ledger")).toEqual(undefined);
+    });
+
+    it("is abandoned if the replica falls behind meanwhile", async () => {
+      const setUp = createPlanned(9);
+      const other = new FakeCoordination("b", setUp.store);
+      other.subscribe(() => {
+        setUp.statuses["p"] = status(12, "primary");
+      });
+      expect(await setUp.change.run()).toEqual("abandoned");
+      expect(setUp.orders).toEqual([]);
+      expect(setUp.calls.some((call) => call.startsWith("pause")))
+        .toEqual(false);
+      const row = setUp.store.groups.get("ledger")!.value;
+      expect([row.phase, row.primary]).toEqual(["steady", "p"]);
+    });
+
+    it("promotes a replica that has the whole log", async () => {
+      const { change, orders } = createPlanned(9);
+      expect(await change.run()).toEqual("changed");
+      expect(orders.map((order) => order.slice(0, 2))).toEqual(["r1"]);
+    });
+  });
 });
