--- a/src/plugins/leadership/candidate_search.ts
+++ b/src/plugins/leadership/candidate_search.ts
@@ -68,6 +68,14 @@
   readonly mayContinue: () => boolean;
 }
 
+/** What the instances of a group say. */
+export interface Survey {
+  /** The instance that leads under the highest term; undefined if none does. */
+  readonly primary: Candidate | undefined;
+  /** Highest term; 0 if no instance answered. */
+  readonly term: number;
+}
+
 /** Finds the candidates of one group for one change of primary. */
 export class CandidateSearch {
   readonly #options: CandidateSearchOptions;
@@ -78,6 +86,22 @@
     this.#options = options;
   }
 
+  /** Asks the instances which of them leads, and for the highest term of a log or a lead; `except` is not asked. */
+  async survey(except?: string): Promise<Survey> {
+    const { group, directory } = this.#options;
+    const asked = directory.group(group).filter(({ id }) => id !== except);
+    const answers = await Promise.all(asked.map(async (instance) => {
+      const status = await this.status(instance);
+      return status.isOk() ? [{ id: instance.id, status: status.value }] : [];
+    }));
+    const found = answers.flat();
+    const term = Math.max(0, ...found.map(({ status }) => status.term));
+    const primary = found.find(({ status }) =>
+      status.role === "primary" && status.term === term
+    );
+    return { primary, term };
+  }
+
   /** Whether a planned change would lose nothing now: a replica that is not leaving has received what the primary has. */
   isReady(primary: string | undefined): Promise<boolean> {
     const { group, directory } = this.#options;
--- a/src/plugins/leadership/group_leadership.ts
+++ b/src/plugins/leadership/group_leadership.ts
@@ -99,6 +99,8 @@
    */
   #replaced = false;
   #lastAnswerAt = -Infinity;
+  /** The instance that last was the only one to claim the lead. */
+  #lastClaimant: string | undefined;
 
   constructor(options: GroupLeadershipOptions) {
     this.#options = options;
@@ -126,14 +128,24 @@
   /**
    * The last known leader, also while it is being replaced. Taken from the
    * group's row, or without one from the only instance that claims to be the
-   * primary.
+   * primary, also once its entry is gone; undefined if none or several claim it.
    */
   get primary(): string | undefined {
     const record = this.#record;
-    if (record) return record.value.primary;
+    if (record) return record.value.primary || undefined;
     const claimants = this.#options.directory.group(this.group)
       .filter((instance) => instance.claimsPrimary);
-    return claimants.length === 1 ? claimants[0]!.id : undefined;
+    if (claimants.length > 1) return undefined;
+    this.#lastClaimant = claimants[0]?.id ?? this.#lastClaimant;
+    if (claimants.length === 1) return this.#lastClaimant;
+    const isListed = this.#lastClaimant !== undefined &&
+      this.#options.directory.get(this.#lastClaimant) !== undefined;
+    return isListed ? undefined : this.#lastClaimant;
+  }
+
+  /** Whether the last known leader follows another primary, which the group's row doesn't name. */
+  get isReplaced(): boolean {
+    return this.#replaced && !this.changing;
   }
 
   /** The leader that new work may use; undefined if there is none or it is being replaced. */
--- a/src/plugins/leadership/primary_change.ts
+++ b/src/plugins/leadership/primary_change.ts
@@ -20,6 +20,7 @@
   type Candidate,
   CandidateSearch,
   POLL_INTERVAL_MS,
+  type Survey,
 } from "./candidate_search.ts";
 import type {
   Coordination,
@@ -61,6 +62,9 @@
 /** Delay before the row that ends the change is written again after a failure, in ms. */
 const FINISH_RETRY_DELAY_MS = 150;
 
+/** Id of the primary in the row of a change whose former primary nobody knows. */
+const NO_PRIMARY = "";
+
 /** Dependencies of a primary change. */
 export interface PrimaryChangeOptions {
   /** Name of this proxy. */
@@ -79,6 +83,8 @@
 export interface ChangeReason {
   /** True if the primary is alive and hands over; false if it is considered dead. */
   readonly planned: boolean;
+  /** Whether another instance may lead already. */
+  readonly searches?: boolean;
   readonly text: string;
 }
 
@@ -122,9 +128,12 @@
     if (planned && !await this.#search.isReady(leadership.primary)) {
       return "postponed";
     }
-    if (!await this.#announce()) return "lost";
+    const { searches } = this.#reason;
+    const survey = await this.#survey();
+    if (searches && survey?.primary) return await this.#adopt(survey.primary);
+    if (!await this.#announce(survey?.term ?? 0)) return "lost";
     const unheard = await this.#waitForAcknowledgements();
-    if (!this.#reason.planned && this.#isPrimaryHeardByOthers()) {
+    if (!planned && !searches && this.#isPrimaryHeardByOthers()) {
       await this.#finish(this.#record!.primary, this.#record!.term);
       return "abandoned";
     }
@@ -164,22 +173,60 @@
     return comparePositions(next.status.received, received) < 0;
   }
 
-  /** Writes the row that announces the change to all proxies. */
-  async #announce(): Promise<boolean> {
-    const { leadership, coordination, proxy } = this.#options;
+  /** Asks the instances for what this proxy doesn't know: who leads, or under which term. */
+  async #survey(): Promise<Survey | undefined> {
+    const { leadership } = this.#options;
+    if (this.#reason.searches) return await this.#search.survey();
+    if (leadership.term > 0) return undefined;
+    return await this.#search.survey(leadership.primary);
+  }
+
+  /** Names an instance that leads already in the group's row. */
+  async #adopt({ id, status }: Candidate): Promise<ChangeOutcome> {
+    const { leadership, coordination } = this.#options;
     const current = coordination.group(leadership.group);
-    const primary = leadership.primary;
-    if (!primary) return false;
-    this.#record = {
-      phase: "changing",
+    const written = await coordination.putGroup(
+      leadership.group,
+      current?.version ?? 0,
+      this.#createRecord("steady", id, status.term),
+    );
+    this.#write(Events.CHANGE_SETTLED, {
+      primary: id,
+      term: status.term,
+      reason: this.#reason.text,
+      outcome: written.isOk() ? "done" : written.error.kind,
+    });
+    return written.isOk() ? "changed" : "lost";
+  }
+
+  #createRecord(
+    phase: GroupRecord["phase"],
+    primary: string,
+    term: number,
+  ): GroupRecord {
+    const { coordination, proxy } = this.#options;
+    return {
+      phase,
       primary,
-      term: leadership.term,
+      term,
       holder: proxy,
       holderLife: coordination.incarnation,
       planned: this.#reason.planned,
       expiresAt: coordination.clock() + CHANGE_TIMEOUT_MS,
       operation: randomUUID(),
     };
+  }
+
+  /** Writes the row that announces the change to all proxies; `seenTerm` is the highest term of the instances. */
+  async #announce(seenTerm: number): Promise<boolean> {
+    const { leadership, coordination } = this.#options;
+    const current = coordination.group(leadership.group);
+    const primary = leadership.primary ?? NO_PRIMARY;
+    this.#record = this.#createRecord(
+      "changing",
+      primary,
+      Math.max(leadership.term, seenTerm),
+    );
     const written = await coordination.putGroup(
       leadership.group,
       current?.version ?? 0,
@@ -353,16 +400,10 @@
 
   /** Writes the row that ends the change and names the primary; repeats it until the change expires. */
   async #finish(primary: string, term: number): Promise<void> {
-    const { coordination, leadership, proxy } = this.#options;
+    const { coordination, leadership } = this.#options;
     const record: GroupRecord = {
-      phase: "steady",
-      primary,
-      term,
-      holder: proxy,
-      holderLife: coordination.incarnation,
-      planned: this.#reason.planned,
+      ...this.#createRecord("steady", primary, term),
       expiresAt: this.#record!.expiresAt,
-      operation: randomUUID(),
     };
     for (;;) {
       const written = await coordination.putGroup(
--- a/src/plugins/leadership/succession.ts
+++ b/src/plugins/leadership/succession.ts
@@ -17,7 +17,11 @@
   GroupRecord,
   PromotionOrder,
 } from "./coordination.ts";
-import { GroupLeadership, type StatusRounds } from "./group_leadership.ts";
+import {
+  GroupLeadership,
+  LEASE_MS,
+  type StatusRounds,
+} from "./group_leadership.ts";
 import { type ChangeReason, PrimaryChange } from "./primary_change.ts";
 import { isEraSettled } from "./era_settling.ts";
 import { PrimaryFailureDetector } from "./primary_doubt.ts";
@@ -50,6 +54,9 @@
 const POSTPONED_RETRY_MIN_MS = 300;
 const POSTPONED_RETRY_PER_PROXY_MS = 30;
 
+/** Time for which the primary has to be unknown, or to follow another one, before it is searched for, in ms; entries of instances that are missing come back within it. */
+const ASTRAY_MS = 5_000;
+
 /** Dependencies of the succession service. */
 export interface SuccessionOptions {
   /** Name of this proxy. */
@@ -73,6 +80,8 @@
   neededSince?: number;
   changing: boolean;
   notBefore: number;
+  /** Monotonic ms since which the primary is unknown, or the known one follows another. */
+  astraySince?: number;
   /** Monotonic ms at which the group's row was first found lost. */
   lostSince?: number;
   restoring: boolean;
@@ -211,6 +220,8 @@
         text: `${record.value.holder} did not end its change in time`,
       };
     }
+    const astray = this.#reasonToSearch(group);
+    if (astray) return astray;
     const { primary } = leadership;
     if (!primary) return undefined;
     const listed = directory.get(primary);
@@ -230,6 +241,30 @@
     return { planned: true, text: `${primary} is leaving` };
   }
 
+  /** Why the primary has to be found among the instances: the row and the entries don't name it, or name a former one. */
+  #reasonToSearch(group: Group): ChangeReason | undefined {
+    const { directory, coordination } = this.#options;
+    const { leadership } = group;
+    const isUnknown = leadership.primary === undefined &&
+      directory.group(leadership.group).length > 0;
+    const now = clock.now();
+    if (!isUnknown && !leadership.isReplaced) {
+      group.astraySince = undefined;
+      return undefined;
+    }
+    group.astraySince ??= now;
+    // A proxy without the store can't tell whether entries are missing.
+    const isInTouch = now - coordination.confirmedAt < LEASE_MS;
+    if (!isInTouch || now - group.astraySince < ASTRAY_MS) return undefined;
+    return {
+      planned: false,
+      searches: true,
+      text: isUnknown
+        ? "no instance, or several claim to be the primary"
+        : `${leadership.primary} follows another primary`,
+    };
+  }
+
   /** Writes the row of a group again that the store lost, unless another proxy does so first. */
   #checkRow(group: Group): void {
     const { coordination } = this.#options;
--- a/test/platform/faults_test.ts
+++ b/test/platform/faults_test.ts
@@ -88,6 +88,22 @@
       });
     }
 
+    // Guards against a group that nobody serves again, since its primary was lost while nobody used it (review/8).
+    for (const restarts of [false, true]) {
+      it(`that is gone while its group is quiet is replaced${restarts ? ", also by hosts that have never seen it" : ""}`, async () => {
+        deployment = await Deployment.start();
+        await deployment.order("kill", PRIMARY);
+        await deployment.remove("servers", PRIMARY);
+        if (restarts) {
+          await Promise.all(deployment.hosts.map((host) => host.kill()));
+          await Promise.all(deployment.hosts.map((host) => host.start()));
+        }
+        await sleep(8_000);
+        await writeUntilDone(() => deployment.open(1, "booking"), "after");
+        expect(await committedItems()).toEqual(["after"]);
+      });
+    }
+
     // Guards against a statement that runs with an old value after a newer one was acknowledged.
     it("that is silent makes a session with an unanswered write refuse a new value", async () => {
       deployment = await Deployment.start();
--- a/test/platform/leadership_test.ts
+++ b/test/platform/leadership_test.ts
@@ -86,6 +86,27 @@
     expect(leadership.current()?.instance).toEqual("p");
   });
 
+  // Guards against a quiet group whose primary is lost before anybody has used it (review/8).
+  describe("without a row", () => {
+    it("stays with the only claimant once its entry is gone", () => {
+      const { directory, leadership } = createProxy("a", new FakeStore());
+      expect(leadership.primary).toEqual("p");
+      directory.remove("p");
+      directory.sweep(clock.now() + 60_000);
+      expect(leadership.primary).toEqual("p");
+    });
+
+    it("is unknown if the claimant is there and no longer claims it, or several do", () => {
+      const { directory, leadership } = createProxy("a", new FakeStore());
+      expect(leadership.primary).toEqual("p");
+      directory.put(instance("p"));
+      expect(leadership.primary).toEqual(undefined);
+      directory.put(instance("p", true));
+      directory.put(instance("r1", true));
+      expect(leadership.primary).toEqual(undefined);
+    });
+  });
+
   describe("an answer of the primary", () => {
     it("is confirmed within the lease", async () => {
       const { leadership, rounds } = createProxy("a", new FakeStore());
@@ -266,6 +287,8 @@
     /** Instances that are not running, which the platform doesn't promote. */
     readonly notRunning?: readonly string[];
     readonly synchronousReplicas?: number;
+    /** Whether another instance may lead already. */
+    readonly searches?: boolean;
   }) {
     const store = new FakeStore();
     const proxy = createProxy("a", store);
@@ -326,7 +349,11 @@
       },
       synchronousReplicas: options.synchronousReplicas ?? 0,
       log,
-    }, { planned: options.planned ?? false, text: "test" });
+    }, {
+      searches: options.searches ?? false,
+      planned: options.planned ?? false,
+      text: "test",
+    });
     return { store, proxy, change, orders, calls, statuses };
   }
 
@@ -587,4 +614,48 @@
       expect(orders.map((order) => order.slice(0, 2))).toEqual(["r1"]);
     });
   });
+
+  // Guards against a group that is not served for good since its row and entries don't name the primary.
+  describe("of a group whose primary is not known", () => {
+    function createSearch() {
+      const setUp = createChange({ searches: true });
+      setUp.proxy.directory.put(instance("p"));
+      return setUp;
+    }
+
+    it("names an instance that leads, without a promotion", async () => {
+      const { store, change, orders, statuses } = createSearch();
+      statuses["r1"] = status(9, "primary", 4);
+      statuses["r2"] = status(9, "primary", 3);
+      expect(await change.run()).toEqual("changed");
+      expect(orders).toEqual([]);
+      const { phase, primary, term } = store.groups.get("ledger")!.value;
+      expect([phase, primary, term]).toEqual(["steady", "r1", 4]);
+    });
+
+    it("promotes the most advanced log above the highest term if none leads", async () => {
+      const { store, change, orders, statuses } = createSearch();
+      statuses["r1"] = status(7, "replica", 6);
+      statuses["p"] = status(5, "replica", 1);
+      statuses["r2"] = status(9, "replica", 6);
+      const running = change.run();
+      await eventually(() => orders.length > 0);
+      statuses["r2"] = status(9, "primary", 7);
+      expect(await running).toEqual("changed");
+      expect(orders.map((order) => order.slice(0, 2))).toEqual(["r2"]);
+      const { primary, term } = store.groups.get("ledger")!.value;
+      expect([primary, term]).toEqual(["r2", 7]);
+    });
+
+    it("does not take an old primary for the leader", async () => {
+      const { change, orders, statuses } = createSearch();
+      statuses["p"] = status(5, "primary", 1);
+      statuses["r1"] = status(7, "replica", 2);
+      const running = change.run();
+      await eventually(() => orders.length > 0);
+      statuses["r2"] = status(9, "primary", 3);
+      expect(await running).toEqual("changed");
+      expect(orders.length).toEqual(1);
+    });
+  });
 });
