Name no primary that has stepped down in a row

What callers would see: a group without a leader that its row names, until a statement there shows it.

Change: such an instance is promoted again as the last candidate; if that fails, the change is given up at once to the next proxy, and the row stays `changing`.

--- a/src/plugins/leadership/candidate_search.ts
+++ b/src/plugins/leadership/candidate_search.ts
@@ -82,6 +82,8 @@
   /** Instances that were asked to pause; one that did not answer may have paused as well. */
   #paused: readonly string[] = [];
 
+  #formerPrimary: Candidate | undefined;
+
   constructor(options: CandidateSearchOptions) {
     this.#options = options;
   }
@@ -170,6 +172,11 @@
     );
   }
 
+  /** The old primary once it has stepped down, so that it leads no more. */
+  get formerPrimary(): Candidate | undefined {
+    return this.#formerPrimary;
+  }
+
   /** Reads the role and the log position of an instance. */
   status(
     instance: ListedInstance,
@@ -242,6 +249,9 @@
       instance,
       (link, at) => link.stepDown(term, at),
     );
+    if (status.isOk() && status.value.role === "replica") {
+      this.#formerPrimary = { id: primary, status: status.value };
+    }
     log.write(Events.FENCED, {
       group,
       instance: primary,
--- a/src/plugins/leadership/primary_change.ts
+++ b/src/plugins/leadership/primary_change.ts
@@ -161,8 +161,24 @@
       }
     }
     await this.#search.resume();
-    await this.#finish(this.#record!.primary, this.#record!.term);
-    return "abandoned";
+    return await this.#abandon();
+  }
+
+  /** Ends a change without a candidate. An old primary that has stepped down leads again only after a promotion. */
+  async #abandon(): Promise<ChangeOutcome> {
+    const { formerPrimary } = this.#search;
+    const { primary, term } = this.#record!;
+    if (!formerPrimary) {
+      await this.#finish(primary, term);
+      return "abandoned";
+    }
+    const promoted = await this.#promote(formerPrimary);
+    if (typeof promoted === "number") {
+      await this.#finish(primary, promoted);
+      return "abandoned";
+    }
+    if (promoted === undefined) await this.#giveUp();
+    return "lost";
   }
 
   /** Whether a candidate that can't be promoted may be the only one to have a commit that was acknowledged. */
--- a/test/platform/leadership_test.ts
+++ b/test/platform/leadership_test.ts
@@ -447,6 +447,30 @@
     expect(orders.length).toEqual(3);
   });
 
+  // Guards against a row that names a primary which was told to step down, so that nobody leads.
+  for (const notRunning of [["r1", "r2"], ["r1", "r2", "p"]]) {
+    const isLost = notRunning.includes("p");
+    it(`${isLost ? "does not name" : "promotes"} a primary that has stepped down if ${notRunning.join(", ")} can't be promoted`, async () => {
+      const { store, change, calls, statuses } = createChange({
+        notRunning,
+        setUpOthers: (shared) => {
+          const silent = createProxy("b", shared);
+          silent.coordination.cut = true;
+        },
+      });
+      statuses["p"] = status(9);
+      expect(await change.run()).toEqual(isLost ? "lost" : "abandoned");
+      expect(calls.includes("stepDown p")).toEqual(true);
+      expect(calls.filter((call) => call.startsWith("resume")).length)
+        .toEqual(2);
+      const { phase, primary, term, expiresAt } =
+        store.groups.get("ledger")!.value;
+      expect([phase, primary, term])
+        .toEqual(isLost ? ["changing", "p", 1] : ["steady", "p", 2]);
+      if (isLost) expect(expiresAt <= clock.now()).toEqual(true);
+    });
+  }
+
   it("is abandoned when another proxy has just received an answer of the primary", async () => {
     const { store, change, orders } = createChange({
       setUpOthers: (shared) => {
