Fill the part of a restarted host while it may not be used yet

Cause: after a restart a host uses its part of the limits 1.5 s after its start, when what its earlier run delegated has ended, and its buckets began to fill only then. For the first tenths of a second all hosts together had a token or two.

What callers saw: a request far below an account's limit was refused (418) when all hosts had been killed and were just back.

Change: what an earlier run delegated ends 1 s after the start at the latest, so the part of a host that had joined before fills from then on. A new host's part still fills from its first use, since others may divide by fewer until then.

--- a/src/plugins/quotas/part.ts
+++ b/src/plugins/quotas/part.ts
@@ -39,6 +39,8 @@
   /** Whether one of the tokens that are reserved for hosts on their own belongs to this host. */
   readonly #isReserved: (account: string) => boolean;
   #share = 0;
+  /** Whether the part has not been used yet. */
+  #isNew = true;
   /** Time since which the part fills buckets here. */
   #since = 0;
   /** Time from which tokens may be taken here: after a release, those that the coordinator has lent may be in use until then. */
@@ -59,11 +61,15 @@
     return this.#share;
   }
 
-  /** Changes the share of the limits; tokens that are there don't grow by it. */
+  /**
+   * Changes the share of the limits; tokens that are there don't grow by it.
+   * Before its first use the part fills from `unfilledSince` on.
+   */
   setShare(
     share: number,
     accounts: readonly LimitedAccount[],
     now: number,
+    unfilledSince = now,
   ): void {
     const former = this.#share;
     if (share === former) return;
@@ -74,7 +80,9 @@
     }
     this.#share = share;
     if (former === 0 || share === 0) {
-      this.#since = Math.max(now, this.#heldUntil, this.#usableAt);
+      const since = this.#isNew ? Math.min(unfilledSince, now) : now;
+      this.#since = Math.max(since, this.#heldUntil, this.#usableAt);
+      this.#isNew &&= share === 0;
       this.#buckets.clear();
     } else if (share > former && now > this.#since) {
       this.#since = now - (now - this.#since) * former / share;
--- a/src/plugins/quotas/roster.ts
+++ b/src/plugins/quotas/roster.ts
@@ -13,6 +13,7 @@
 import type { Coordination } from "../leadership/coordination.ts";
 import { orderNames } from "./rendezvous.ts";
 import {
+  DELEGATION_MS,
   DEPARTED_MS,
   JOIN_SETTLING_MS,
   PART_LEASE_MS,
@@ -71,6 +72,8 @@
   #shrunkSince: number | undefined;
   #joinedAt = Infinity;
   readonly #startedAt: number;
+  /** Whether an earlier run of this host had joined. */
+  #isInherited = false;
   /** Number of parts that another host counts, until the clock ms behind it. */
   #told = { parts: 0, until: 0 };
   #isLeaving = false;
@@ -126,6 +129,15 @@
     return this.#recorded !== undefined && now >= this.#joinedAt;
   }
 
+  /**
+   * Clock ms from which nobody else fills this host's part; undefined if that is
+   * not before its first use. The part of a host that restarts is as large as
+   * before, so only what its earlier run delegated has to end.
+   */
+  get unfilledSince(): number | undefined {
+    return this.#isInherited ? this.#startedAt + DELEGATION_MS : undefined;
+  }
+
   /** Whether the hosts must still be asked whether they count this one. */
   get mustJoin(): boolean {
     return this.#isPresent && this.#joinedAt === Infinity;
@@ -188,6 +200,7 @@
     if (!this.#isPresent) {
       // Removed by others, or replaced by a later run: the part belongs to nobody, or to that run.
       this.#recorded = undefined;
+      this.#isInherited = false;
       this.#joinedAt = Infinity;
       this.#confirmedAt = -Infinity;
       return;
@@ -196,7 +209,10 @@
     // An earlier run of this host had joined, and what it delegated ends like that of a new host.
     const isInherited = this.#recorded !== undefined &&
       this.#joinedAt === Infinity;
-    if (isInherited) this.#joinedAt = this.#startedAt + JOIN_SETTLING_MS;
+    if (isInherited) {
+      this.#isInherited = true;
+      this.#joinedAt = this.#startedAt + JOIN_SETTLING_MS;
+    }
     this.#confirmedAt = Math.max(this.#confirmedAt, rows.confirmedAt);
   }
 
--- a/src/plugins/quotas/shard_client.ts
+++ b/src/plugins/quotas/shard_client.ts
@@ -190,9 +190,11 @@
 
   /** Returns whether the share has changed. */
   #updateShare(now: number): boolean {
-    const share = this.#options.roster.share(now);
-    const hasChanged = share !== this.#link.part.share;
-    this.#link.part.setShare(share, this.#accounts, now);
+    const { roster } = this.#options;
+    const { part } = this.#link;
+    const share = roster.share(now);
+    const hasChanged = share !== part.share;
+    part.setShare(share, this.#accounts, now, roster.unfilledSince);
     return hasChanged;
   }
 
--- a/test/quotas_test.ts
+++ b/test/quotas_test.ts
@@ -411,6 +411,22 @@
     expect(refusedOf(later)).toEqual([]);
   });
 
+  // Guards against hosts that refuse a few operations since their parts are empty when they use them for the first time.
+  it("serve a few operations at once as soon as all hosts that were killed use their parts", () => {
+    const { cluster, names, pick, start } = startCluster(4, {
+      a: { rate: 50, burst: 50 },
+    });
+    cluster.runUntil(start + 5_000);
+    for (const name of names) cluster.start(name);
+    cluster.runUntil(cluster.now + 1_600);
+    const from = cluster.now;
+    cluster.load("a", 90, from + 100, pick(), true);
+    cluster.runUntil(from + 3_000);
+    const later = cluster.outcomes.filter(({ askedAt }) => askedAt >= from);
+    expect(later.length > 5).toEqual(true);
+    expect(refusedOf(later)).toEqual([]);
+  });
+
   // Guards against a host that is gone for good keeping all others, which have just restarted, from their parts.
   it("serve within 5 s after all hosts but a lost one have restarted", () => {
     const { cluster, names, start } = startCluster(26, {
