--- a/src/plugins/sessions/caller_session.ts
+++ b/src/plugins/sessions/caller_session.ts
@@ -102,6 +102,14 @@
 
   /** Answers statements until the caller disconnects, its connection is closed, or the session ends in a drain. */
   async run(): Promise<void> {
+    try {
+      await this.#answerAll();
+    } finally {
+      this.#session.end();
+    }
+  }
+
+  async #answerAll(): Promise<void> {
     for (;;) {
       const request = await this.#channel.next();
       clearTimeout(this.#idleTimer);
--- a/src/plugins/sessions/session_context.ts
+++ b/src/plugins/sessions/session_context.ts
@@ -21,6 +21,7 @@
   PreparedStatement,
 } from "../upstream/link.ts";
 import { laterPosition, type Position } from "../upstream/position.ts";
+import { heldByAll, type HeldMemory } from "./held_memory.ts";
 import type { RequestLog } from "./request_log.ts";
 
 /** Services that all sessions of the process share. */
@@ -47,13 +48,28 @@
 export class SessionState {
   readonly #values = new Map<string, string>();
   readonly #prepared = new Map<string, PreparedStatement>();
+  readonly #memory: HeldMemory;
   #heldLength = 0;
+  #isEnded = false;
   #position: Position | undefined;
   /** Statements that were sent and neither answered nor given up. */
   readonly #running = new Set<Promise<void>>();
   /** Monotonic ms until which a statement that was given up may still run. */
   #mayRunUntil = -Infinity;
 
+  constructor(memory: HeldMemory = heldByAll) {
+    this.#memory = memory;
+  }
+
+  /** Gives back what the session holds; it holds nothing more afterwards. */
+  end(): void {
+    this.#isEnded = true;
+    this.#memory.tryChange(this.#heldLength, 0);
+    this.#heldLength = 0;
+    this.#values.clear();
+    this.#prepared.clear();
+  }
+
   get values(): ReadonlyMap<string, string> {
     return this.#values;
   }
@@ -62,7 +78,7 @@
     return this.#prepared;
   }
 
-  /** Sets a value; returns false if the session would hold too much. */
+  /** Sets a value; returns false if the session, or all sessions together, would hold too much. */
   setValue(name: string, value: string): boolean {
     const former = this.#values.get(name);
     if (!this.#tryHold(name, value, former)) return false;
@@ -70,7 +86,7 @@
     return true;
   }
 
-  /** Adds or replaces a prepared statement; returns false if the session would hold too much. */
+  /** Adds or replaces a prepared statement; returns false if the session, or all sessions together, would hold too much. */
   prepare(name: string, { effect, shape }: PreparedStatement): boolean {
     const former = this.#prepared.get(name)?.shape;
     if (!this.#tryHold(name, shape, former)) return false;
@@ -88,14 +104,17 @@
   /** Removes a prepared statement, if it exists. */
   deallocate(name: string): void {
     const former = this.#prepared.get(name)?.shape;
-    this.#heldLength -= entryLength(name, former);
+    const length = this.#heldLength - entryLength(name, former);
+    this.#memory.tryChange(this.#heldLength, length);
+    this.#heldLength = length;
     this.#prepared.delete(name);
   }
 
   #tryHold(name: string, text: string, former: string | undefined): boolean {
     const length = this.#heldLength - entryLength(name, former) +
       entryLength(name, text);
-    if (length > HELD_MAX_LENGTH) return false;
+    if (this.#isEnded || length > HELD_MAX_LENGTH) return false;
+    if (!this.#memory.tryChange(this.#heldLength, length)) return false;
     this.#heldLength = length;
     return true;
   }
--- a/test/platform/session_size_test.ts
+++ b/test/platform/session_size_test.ts
@@ -17,7 +17,11 @@
 import type { Route } from "../../src/plugins/deployment/routes.ts";
 import { CallerIdentity } from "../../src/plugins/accounts/caller_identity.ts";
 import { CallerSession } from "../../src/plugins/sessions/caller_session.ts";
-import type { SessionContext } from "../../src/plugins/sessions/session_context.ts";
+import { HeldMemory } from "../../src/plugins/sessions/held_memory.ts";
+import {
+  type SessionContext,
+  SessionState,
+} from "../../src/plugins/sessions/session_context.ts";
 import { eventually } from "../support/eventually.ts";
 import { LineCaller } from "./fixtures/line_caller.ts";
 
@@ -179,3 +183,59 @@
     expect(before).toBeLessThan(HELD_MAX_BYTES);
   });
 });
+
+// Guards against a small crowd whose sessions fill the heap together, each within its own limit (review/9).
+describe("what all sessions hold together", () => {
+  const LIMIT = 4_000_000;
+  const large = "x".repeat(300_000);
+
+  function fill(memory: HeldMemory): SessionState[] {
+    const sessions: SessionState[] = [];
+    for (let count = 0; count < 60; count += 1) {
+      const session = new SessionState(memory);
+      for (const name of ["a", "b", "c"]) session.setValue(name, large);
+      sessions.push(session);
+    }
+    return sessions;
+  }
+
+  it("stays below a limit", () => {
+    const memory = new HeldMemory(LIMIT);
+    fill(memory);
+    expect(memory.held > 0).toEqual(true);
+    expect(memory.held <= LIMIT).toEqual(true);
+  });
+
+  it("leaves room for sessions that hold little", () => {
+    const memory = new HeldMemory(LIMIT);
+    fill(memory);
+    const ordinary = new SessionState(memory);
+    expect(ordinary.setValue("tenant", "t1")).toEqual(true);
+    expect(ordinary.prepare("s1", { effect: "read", shape: "q1" }))
+      .toEqual(true);
+    expect(ordinary.setValue("large", large)).toEqual(false);
+  });
+
+  it("is given back as sessions end, replace values or deallocate statements", () => {
+    const memory = new HeldMemory(LIMIT);
+    for (const session of fill(memory)) session.end();
+    expect(memory.held).toEqual(0);
+    const session = new SessionState(memory);
+    for (let turn = 0; turn < 100; turn += 1) {
+      expect(session.setValue("a", large)).toEqual(true);
+      expect(session.prepare("s", { effect: "read", shape: large }))
+        .toEqual(true);
+      session.deallocate("s");
+    }
+    session.setValue("a", "");
+    expect(memory.held < 1_000).toEqual(true);
+  });
+
+  it("counts nothing for a session that has ended", () => {
+    const memory = new HeldMemory(LIMIT);
+    const session = new SessionState(memory);
+    session.end();
+    expect(session.setValue("a", "b")).toEqual(false);
+    expect(memory.held).toEqual(0);
+  });
+});
