--- a/test/platform/store_eras_test.ts
+++ b/test/platform/store_eras_test.ts
@@ -186,6 +186,24 @@
     });
   }
 
+  // Guards against a feed that is asked again at once, since the store lacks its version and the full read is dropped.
+  it("call the store no more than before the drill", async () => {
+    const { rows, zones } = await start(6, 6);
+    const copy = rows.copy();
+    fill(rows, 40);
+    await sleep(5_000);
+    const callsIn = async (duration: number) => {
+      const before = zones.storeCalls;
+      await sleep(duration);
+      return zones.storeCalls - before;
+    };
+    const usual = await callsIn(10_000);
+    rows.restore(copy);
+    const after = await callsIn(10_000);
+    // For each proxy: three waits that end early, three full reads, a record of the era and a feed that shows one.
+    expect(after <= usual + 6 * (3 + 3 + 2)).toEqual(true);
+  });
+
   // Guards against a lost row that its own proxy never misses.
   it("register again if the copy lacks their rows, and are known to all", async () => {
     const rows = new Rows();
