--- a/src/plugins/leadership/primary_change.ts
+++ b/src/plugins/leadership/primary_change.ts
@@ -22,17 +22,14 @@
   POLL_INTERVAL_MS,
   type Survey,
 } from "./candidate_search.ts";
+import { ChangeAcknowledgements } from "./change_acknowledgements.ts";
 import type {
   Coordination,
   GroupRecord,
   PromotionOrder,
 } from "./coordination.ts";
 import { CHANGE_TIMEOUT_MS } from "./era_settling.ts";
-import {
-  type GroupLeadership,
-  LEASE_EXPIRY_WAIT_MS,
-  RECENT_ANSWER_MS,
-} from "./group_leadership.ts";
+import type { GroupLeadership } from "./group_leadership.ts";
 import { eraOf } from "./store_era.ts";
 
 /**
@@ -132,8 +129,13 @@
     const survey = await this.#survey();
     if (searches && survey?.primary) return await this.#adopt(survey.primary);
     if (!await this.#announce(survey?.term ?? 0)) return "lost";
-    const unheard = await this.#waitForAcknowledgements();
-    if (!planned && !searches && this.#isPrimaryHeardByOthers()) {
+    const acknowledgements = new ChangeAcknowledgements({
+      ...this.#options,
+      group: leadership.group,
+      version: this.#version,
+    });
+    const unheard = await acknowledgements.wait();
+    if (!planned && !searches && acknowledgements.isPrimaryHeard()) {
       await this.#finish(this.#record!.primary, this.#record!.term);
       return "abandoned";
     }
@@ -261,65 +263,6 @@
     return true;
   }
 
-  /**
-   * Waits until every proxy has acknowledged the change or can no longer hold a
-   * lease; returns the proxies that did not acknowledge or are marked absent.
-   */
-  async #waitForAcknowledgements(): Promise<readonly string[]> {
-    const { coordination } = this.#options;
-    const startedAt = clock.now();
-    const until = startedAt + LEASE_EXPIRY_WAIT_MS;
-    const pending = () =>
-      this.#unacknowledged().filter((name) =>
-        (coordination.absentFor(name) ?? 0) <= LEASE_EXPIRY_WAIT_MS
-      );
-    // A proxy that registered before the row was written may not be known here yet.
-    const isComplete = () =>
-      coordination.version >= this.#version && pending().length === 0;
-    while (!isComplete() && clock.now() < until) {
-      await sleep(POLL_INTERVAL_MS);
-    }
-    // A proxy that has long been absent holds no lease, but may still use status rounds.
-    const unheard = this.#unacknowledged();
-    this.#write(Events.CHANGE_AWAITED, {
-      version: this.#version,
-      proxies: coordination.hosts().size,
-      unheard: pending(),
-      absent: unheard.filter((name) =>
-        coordination.absentFor(name) !== undefined
-      ),
-      elapsed: Math.round(clock.now() - startedAt),
-    });
-    return unheard;
-  }
-
-  /** The proxies that have not acknowledged the change. */
-  #unacknowledged(): readonly string[] {
-    const { leadership, coordination } = this.#options;
-    return [...coordination.hosts().keys()].filter((name) =>
-      coordination.acknowledgement(leadership.group, name)?.version !==
-        this.#version
-    );
-  }
-
-  /** Whether another proxy received an answer of the primary shortly before it acknowledged the change. */
-  #isPrimaryHeardByOthers(): boolean {
-    const { leadership, coordination, proxy } = this.#options;
-    const witness = [...coordination.hosts().keys()].find((name) => {
-      if (name === proxy) return false;
-      const acknowledgement = coordination.acknowledgement(
-        leadership.group,
-        name,
-      );
-      if (acknowledgement?.version !== this.#version) return false;
-      return acknowledgement.heardAgo !== null &&
-        acknowledgement.heardAgo < RECENT_ANSWER_MS;
-    });
-    if (!witness) return false;
-    this.#write(Events.FAILOVER_WITHHELD, { witness });
-    return true;
-  }
-
   /**
    * Promotes a candidate and returns the new term; undefined if the candidate
    * cannot lead, "lost" if this proxy may not continue the change.
--- a/src/plugins/leadership/succession.ts
+++ b/src/plugins/leadership/succession.ts
@@ -3,10 +3,9 @@
  *
  * @module
  */
-import { err, ok, type Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
 import { clock } from "../../kernel/clock.ts";
 import { type EventLog, Events } from "../../kernel/events.ts";
-import { ResultCodes } from "../../kernel/result_codes.ts";
 import { logUnexpected } from "../../kernel/unexpected_errors.ts";
 import type { LinkPools } from "../connections/link_pools.ts";
 import type { InstanceConnector } from "../connections/upstream_pools.ts";
@@ -25,16 +24,11 @@
 import { type ChangeReason, PrimaryChange } from "./primary_change.ts";
 import { isEraSettled } from "./era_settling.ts";
 import { PrimaryFailureDetector } from "./primary_doubt.ts";
+import { probeInstance } from "./primary_probe.ts";
 
 /** Interval between checks of all groups, in ms. */
 const CHECK_INTERVAL_MS = 100;
 
-/** Timeout of a probe, in ms: two crossings between regions, opening a connection and a short queue. */
-const PROBE_TIMEOUT_MS = 350;
-
-/** A connection that fails within this time, in ms, counts as refused; a later failure counts as silence. */
-const REFUSAL_MS = 250;
-
 /**
  * Head start of the proxy that started the last change of a group, in ms, so
  * that the holder does not alternate between proxies.
@@ -371,7 +365,7 @@
     const instance = primary ? directory.get(primary) : undefined;
     if (!instance) return err("refused");
     const startedAt = clock.now();
-    const outcome = await this.#requestStatus(connector, instance, startedAt);
+    const outcome = await probeInstance(connector, instance, startedAt);
     log.write(Events.PRIMARY_SUSPECTED, {
       group: instance.group,
       instance: instance.id,
@@ -381,26 +375,4 @@
     if (outcome.isOk()) this.onAnswer(instance.group, undefined);
     return outcome;
   }
-
-  async #requestStatus(
-    connector: InstanceConnector,
-    instance: Parameters<InstanceConnector["open"]>[0],
-    startedAt: number,
-  ): Promise<Result<void, "refused" | "silent">> {
-    const opened = await connector.open(instance, {
-      timeout: PROBE_TIMEOUT_MS,
-    });
-    if (opened.isErr()) {
-      const { code } = opened.error;
-      // The instance is alive, but has no slot for another connection.
-      if (code === ResultCodes.UPSTREAM_REFUSED) return ok(undefined);
-      const elapsed = clock.now() - startedAt;
-      return err(elapsed < REFUSAL_MS ? "refused" : "silent");
-    }
-    const link = opened.value({ onReleased: () => {}, onClosed: () => {} });
-    const status = await link.status(startedAt + PROBE_TIMEOUT_MS);
-    link.destroy();
-    if (status.isOk()) return ok(undefined);
-    return status.error.silent ? err("silent") : ok(undefined);
-  }
 }
