Take over a planned change whose holder had promoted another instance

Cause: since a planned change was postponed or abandoned while no replica had caught up with the old primary, also when it was taken over from a holder that had had another instance promoted and was gone before it named it. The old primary, ahead by what nobody else has, would have been named again. And a change whose former term is unknown took the term of an instance that leads for it, so that it waited for a later one.

Change: an instance that leads under a later term ends the wait, also if it is leaving, and the former term is below its own.

Evidence: leadership_test, "names an instance that leads already", failed before (postponed; with the first half alone: lost) and passes now.

--- a/src/plugins/leadership/candidate_search.ts
+++ b/src/plugins/leadership/candidate_search.ts
@@ -212,7 +212,8 @@
 
   /**
    * Waits until a replica that is not leaving has received the primary's whole
-   * log; returns whether one has, or the primary doesn't tell what it has.
+   * log; returns whether one has, the primary doesn't tell what it has, or
+   * another instance leads already.
    */
   async #waitForCatchUp(
     primary: string | undefined,
@@ -223,18 +224,21 @@
     if (!leader) return true;
     const leaderStatus = await this.status(leader);
     if (leaderStatus.isErr()) return true;
+    const { received, term } = leaderStatus.value;
     const until = clock.now() + timeout;
-    const usable = others.filter(({ leaving }) => !leaving);
     while (clock.now() < until) {
       const answers = await Promise.all(
-        usable.map((instance) => this.status(instance)),
+        others.map((instance) => this.status(instance)),
       );
-      const isCaughtUp = answers.some((status) =>
-        status.isOk() &&
-        comparePositions(status.value.received, leaderStatus.value.received) >=
-          0
-      );
-      if (isCaughtUp) return true;
+      const isReady = answers.some((status, index) => {
+        if (status.isErr()) return false;
+        const leads = status.value.role === "primary" &&
+          status.value.term > term;
+        const isCaughtUp = !others[index]!.leaving &&
+          comparePositions(status.value.received, received) >= 0;
+        return leads || isCaughtUp;
+      });
+      if (isReady) return true;
       await sleep(POLL_INTERVAL_MS);
     }
     return false;
--- a/src/plugins/leadership/primary_change.ts
+++ b/src/plugins/leadership/primary_change.ts
@@ -128,7 +128,7 @@
     const { searches } = this.#reason;
     const survey = await this.#survey();
     if (searches && survey?.primary) return await this.#adopt(survey.primary);
-    if (!await this.#announce(survey?.term ?? 0)) return "lost";
+    if (!await this.#announce(formerTerm(survey))) return "lost";
     const acknowledgements = new ChangeAcknowledgements({
       ...this.#options,
       group: leadership.group,
@@ -235,7 +235,7 @@
     };
   }
 
-  /** Writes the row that announces the change to all proxies; `seenTerm` is the highest term of the instances. */
+  /** Writes the row that announces the change to all proxies; `seenTerm` is the former primary's term as far as the instances know. */
   async #announce(seenTerm: number): Promise<boolean> {
     const { leadership, coordination } = this.#options;
     const current = coordination.group(leadership.group);
@@ -389,3 +389,10 @@
     this.#options.log.write(kind, { group, ...fields });
   }
 }
+
+/** The former primary's term as far as the instances know it; 0 if none answered. */
+function formerTerm(survey: Survey | undefined): number {
+  if (!survey) return 0;
+  // An instance that leads already does so under a later term.
+  return survey.primary ? survey.term - 1 : survey.term;
+}
--- a/test/platform/leadership_test.ts
+++ b/test/platform/leadership_test.ts
@@ -632,6 +632,17 @@
       expect([row.phase, row.primary]).toEqual(["steady", "p"]);
     });
 
+    // Guards against a row that names the old primary again, after a holder that is gone had another one promoted.
+    it("names an instance that leads already, though the old primary is ahead and it is leaving", async () => {
+      const { store, change, orders, statuses } = createPlanned(7);
+      statuses["p"] = status(12, "primary");
+      statuses["r2"] = status(9, "primary", 2);
+      expect(await change.run()).toEqual("changed");
+      expect(orders).toEqual([]);
+      const { phase, primary, term } = store.groups.get("ledger")!.value;
+      expect([phase, primary, term]).toEqual(["steady", "r2", 2]);
+    });
+
     it("promotes a replica that has the whole log", async () => {
       const { change, orders } = createPlanned(9);
       expect(await change.run()).toEqual("changed");
