List a change that a host misses before the drill as known red

The test plays the order of events that docs/platform.md leaves open: a host reads nothing between a change's row and the drill, and the holder goes on without the store. No product code changes.

--- a/test/platform/store_eras_test.ts
+++ b/test/platform/store_eras_test.ts
@@ -428,6 +428,24 @@
     expect(a.coordination.isGroupLost("ledger")).toEqual(true);
   });
 
+  // Guards against a proxy that goes on at a primary which a holder replaces that doesn't notice the drill either.
+  it("are not relied on by a proxy that read nothing between a change and the drill", async () => {
+    const rows = new Rows();
+    const a = await new Proxy("a", rows).register();
+    const b = await new Proxy("b", rows).register();
+    const first = await a.coordination.putGroup("ledger", 0, steady);
+    await b.poll();
+    const copy = rows.copy();
+    const changing = { ...steady, phase: "changing", operation: "x" } as const;
+    await a.coordination
+      .putGroup("ledger", first._unsafeUnwrap().version, changing);
+    rows.restore(copy);
+    await b.poll();
+    const isHeld = b.coordination.group("ledger")?.value.phase === "changing" ||
+      !isEraSettled(b.coordination);
+    expect(isHeld).toEqual(true);
+  });
+
   // Guards against a condition that holds for a row of another era with the same version.
   it("are not changed by a write of an earlier era that arrives late", async () => {
     const rows = new Rows();
