--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,104 +1,102 @@
-// One read with a long answer ends the process that passes it on, and cuts off all its sessions.
+// Where commits wait for a replica: an instance that has just been replaced is not asked for its
+// log when the primary is lost, and acknowledged commits are missing at the promoted one.
 
-import { Caller, now, runCase, sleep, until } from "../lib-3/standins.mjs";
+import {
+  Caller,
+  configuration,
+  now,
+  runCase,
+  sleep,
+  until,
+} from "../lib-3/standins.mjs";
 
-/** Each message is 64 KiB, a sixteenth of the longest that the page allows. */
-const MESSAGE_BYTES = 64 * 1024;
-/** 96 MiB; at the machine's 1,000 Mbit/s that takes 0.8 s of the route's 2 s. */
-const MESSAGES = 1_536;
-/** The answer without the disruption: 1 MiB. */
-const CALM_MESSAGES = 16;
-const MEMORY_MB = 350;
-const ROUNDS = 3;
-/** Ends of a process by itself, and machines with so many, from which on the rule is broken. */
-const ENDS = 3;
-const MACHINES = 2;
-/** Ordinary sessions at each machine. */
-const SESSIONS = 10;
+const DRAIN_MS = 7_000;
+/** For how long one replica receives nothing, in ms; the site's longest is 6,500. */
+const DEAF_MS = 6_000;
+/** How long before the other replica is replaced it begins to receive nothing, in ms. */
+const DEAF_BEFORE_MS = 1_000;
+/** When the primary crashes after the replacement, in ms. */
+const CRASH_AFTER_MS = 300;
+/** Longest age of the machines' last reads of the list of instances at the replacement, in ms. */
+const READ_AGE_MS = 300;
 
 await runCase(
   import.meta.url,
-  async ({ record, group, addMachine, isTroubled }) => {
-    const row = "x".repeat(MESSAGE_BYTES);
-    const rows = Array.from(
-      { length: isTroubled ? MESSAGES : CALM_MESSAGES },
-      () => row,
-    );
-    group.rowsOf = (item) => (item === "list" ? rows : [`value of ${item}`]);
+  async ({ record, platform, group, addMachine, isTroubled }) => {
+    group.syncReplicas = 1;
+    platform.put("op", "config", configuration(2, { syncReplicas: 1 }));
     const machines = [
       await addMachine("client-zagreb-a-1"),
       await addMachine("client-split-a-1", { zone: "split-a" }),
     ];
+    const readAt = new Map();
+    platform.disrupt = ({ machine, query }) => {
+      if (query.get("table") === "servers") readAt.set(machine, now());
+    };
     await Promise.all(machines.map((machine) => machine.start()));
-    const seen = machines.map((machine) => machine.keepRunning(MEMORY_MB));
-    let cut = 0;
-    for (let round = 1; round <= ROUNDS; round += 1) {
-      await until(
-        "all machines are ready",
-        20_000,
-        async () =>
-          (await Promise.all(machines.map((one) => one.isReady()))).every(
-            Boolean,
-          ),
-      );
-      const sessions = await Promise.all(
-        machines.flatMap((machine) =>
-          Array.from(
-            { length: SESSIONS },
-            () => Caller.open(machine.port, "booking"),
-          )
-        ),
-      );
-      const opened = await Promise.all(
-        sessions.map((one, index) =>
-          one.run(`s${round}-${index}`, `READ item${index}`)
-        ),
-      );
-      record.write(
-        `round ${round}: ${
-          opened.filter((one) => one.signature).length
-        } of ${sessions.length} ordinary sessions are served`,
-      );
-      // One client at each machine, one after the other.
-      for (const [place, machine] of machines.entries()) {
-        const caller = await Caller.open(machine.port, "stock");
-        const id = `list-${round}-${place}`;
-        const sentAt = now();
-        record.write(`client: ${id} "READ list" to ${machine.name}`);
-        const answer = await caller.run(id, "READ list");
-        const text = answer.isLost
-          ? "the connection ended without an answer"
-          : (answer.error ??
-            `${answer.rows.length} rows, signature ${answer.signature}`);
-        record.write(
-          `client: ${id} after ${Math.round(now() - sentAt)} ms: ${text}`,
+    const [primary, draining, other] = group.instances;
+    const acknowledged = [];
+    let isOver = false;
+    const write = async (machine) => {
+      for (let count = 0; !isOver; count += 1) {
+        const caller = await Caller.open(machine.port, "booking").catch(() =>
+          undefined
         );
+        if (!caller) {
+          await sleep(50);
+          continue;
+        }
+        const id = `${machine.name}-${count}`;
+        const answer = await caller.run(id, `WRITE ${id} parent-7`);
+        const told = answer.signature ?? answer.error ?? "no answer";
+        record.write(`client: ${id} "WRITE ${id} parent-7": ${told}`);
+        if (answer.signature) acknowledged.push(id);
         caller.close();
+        await sleep(30);
       }
-      await sleep(300);
-      const lost = sessions.filter((one) => one.closedAt !== undefined).length;
-      cut += lost;
-      record.write(
-        `round ${round}: ${lost} of ${sessions.length} ordinary sessions were cut`,
-      );
-      for (const one of sessions) {
-        one.close();
-      }
-    }
-    for (const [index, { ends, mostMb }] of seen.entries()) {
-      record.write(
-        `${machines[index].name}: ended ${ends.length} times (${
-          ends.join(", ")
-        }), at most ${Math.round(mostMb)} MB seen`,
-      );
-    }
-    const ending = seen.filter(({ ends }) => ends.length >= ENDS).length;
-    for (const one of seen) {
-      one.isStopped = true;
+    };
+    const writers = machines.map(write);
+    await sleep(1_000);
+    // Planned work: a replica is replaced.
+    draining.state = "draining";
+    group.beat(draining);
+    record.write(`group: ${draining.id} reports draining`);
+    await sleep(DRAIN_MS);
+    if (isTroubled) {
+      other.isDeaf = true;
+      record.write(`group: ${other.id} receives nothing`);
+      setTimeout(() => {
+        other.isDeaf = false;
+        record.write(`group: ${other.id} receives again`);
+      }, DEAF_MS);
     }
-    if (ending < MACHINES) {
-      return undefined;
-    }
-    return `on ${ending} of ${machines.length} machines the process ended ${ENDS} times by itself; ${cut} ordinary sessions were cut`;
+    await sleep(DEAF_BEFORE_MS);
+    // It ends a little later than the drain takes; the time is the instance's to choose.
+    await until(
+      "the machines have read the list",
+      3_500,
+      () =>
+        machines.every(({ name }) => now() - readAt.get(name) < READ_AGE_MS),
+    ).catch(() => record.write("the machines' reads don't meet"));
+    await group.replace(draining, "i-4");
+    await sleep(CRASH_AFTER_MS);
+    if (isTroubled) group.crash(primary);
+    await sleep(14_000);
+    isOver = true;
+    await Promise.all(writers);
+    const leader = group.primary;
+    const log = new Set(
+      leader.log.flatMap(({ writes }) => writes.map(({ id }) => id)),
+    );
+    const lost = acknowledged.filter((id) => !log.has(id));
+    record.write(
+      `${leader.id} leads term ${leader.term}; of ${acknowledged.length} acknowledged writes its log lacks ${lost.length}: ${
+        lost.join(" ")
+      }`,
+    );
+    const isPromoted = platform.promotions.length > 0;
+    if (isTroubled && !isPromoted) throw new Error("nothing was promoted");
+    if (lost.length === 0) return undefined;
+    return `${lost.length} acknowledged writes are not in the log of ${leader.id}, which was promoted`;
   },
 );
--- a/review/lib-3/standins.mjs
+++ b/review/lib-3/standins.mjs
@@ -290,6 +290,8 @@
   lagMs = 60;
   promoteMs = 1_000;
   maxConnections = 22;
+  /** Replicas that have received a commit before it is acknowledged. */
+  syncReplicas = 0;
   /** Answers a read with these rows instead of the item's value. */
   rowsOf;
   /** May change what happens to a statement: { instance, id, text } -> "lose" runs it and loses the answer. */
@@ -425,7 +427,8 @@
     }, this.lagMs);
   }
 
-  #commit(instance, writes) {
+  /** Commits; where commits wait for replicas, resolves once enough of them have received it. */
+  async #commit(instance, writes) {
     const number = (instance.log.at(-1)?.number ?? 0) + 1;
     instance.log.push({ term: instance.term, number, writes });
     instance.applied = instance.log.length;
@@ -442,11 +445,38 @@
         }" as ${instance.term}.${number}`,
       );
     }
-    for (const one of this.instances) {
-      if (one !== instance && one.role === "replica") {
-        setTimeout(() => this.#receive(one, instance), 1);
-      }
-    }
+    const received = this.instances
+      .filter((one) => one !== instance && one.role === "replica")
+      .map(async (one) => {
+        await sleep(1);
+        this.#receive(one, instance);
+        const last = one.log.at(-1);
+        const has = last?.term === instance.term && last.number >= number;
+        if (!has) await new Promise(() => {});
+      });
+    if (this.syncReplicas > 0) await Promise.any(received);
+  }
+
+  /** Replaces an instance that has drained: it ends, and its log goes to a new one at its address. */
+  async replace(instance, id) {
+    this.#cut(instance);
+    instance.isUp = false;
+    this.instances.splice(this.instances.indexOf(instance), 1);
+    this.#platform.remove("servers", instance.id);
+    this.#record.write(`group: ${instance.id} ends`);
+    const successor = new Instance(id, instance.zone);
+    successor.port = instance.port;
+    successor.term = instance.term;
+    successor.log = [...instance.log];
+    successor.applied = instance.applied;
+    this.instances.push(successor);
+    await this.#listen(successor);
+    this.#record.write(
+      `group: ${id} starts at its address with its ${successor.log.length} commits`,
+    );
+    const { primary } = this;
+    if (primary) this.#receive(successor, primary);
+    return successor;
   }
 
   /** Waits for one of the slots; resolves to false if the queue is full. */
@@ -522,7 +552,8 @@
       }
       // A connection that is closed rolls back, and runs nothing more.
       if (socket.destroyed || !instance.isUp) return;
-      outcome = this.#run(instance, connection, { id, text, after });
+      outcome = await this.#run(instance, connection, { id, text, after });
+      if (socket.destroyed || !instance.isUp) return;
     }
     const isClients = id !== "-";
     if (isClients && !outcome.error) {
@@ -616,8 +647,8 @@
         connection.writes = [];
         if (state === "E") return { error: "ABORTED" };
         if (writes.length > 0 && hasLost) return { error: "READONLY" };
-        if (writes.length > 0) this.#commit(instance, writes);
-        return {};
+        if (writes.length === 0) return {};
+        return this.#commit(instance, writes).then(() => ({}));
       }
       case "EXECUTE": {
         const prepared = connection.prepared.get(first);
@@ -650,7 +681,7 @@
   #write(instance, connection, write) {
     if (instance.role !== "primary") return { error: "READONLY" };
     if (connection.state === "T") connection.writes.push(write);
-    else this.#commit(instance, [write]);
+    else return this.#commit(instance, [write]).then(() => ({}));
     return {};
   }
 }
@@ -941,6 +972,7 @@
 export function configuration(
   version = 1,
   {
+    syncReplicas = 0,
     timeoutMs = 2_000,
     names = ["booking", "stock", "returns"],
     txIdleMs = 3_000,
@@ -969,7 +1001,7 @@
       maxConnections: 22,
       protocol: "h1",
       tls: false,
-      syncReplicas: 0,
+      syncReplicas,
     }],
     limits: {
       maxHeaderBytes: 16_384,
